Let idle and silent clients go, survive SIGHUP and check every figure of a request

Ruled out: memory (34 MB), the module (the tries never reached it). At fault: EventLoop.Listener.next stopped accepting at its limit for good, FrameConnection knew no idle end and gave an unfinished frame 10 s, counted from its last byte; Main had no handler, so the JVM's own ended it; RequestReader took any figure below 1e12, one of which the module would have learned from.

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -13,10 +13,13 @@
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
 import java.io.IOException;
+import java.lang.System.Logger.Level;
 
 /** One director: its parts, wired together. */
 final class Assembly {
 
+    private static final System.Logger LOG = System.getLogger(Assembly.class.getName());
+
     /** Bodies may take this part of the heap; beliefs, open requests and what is read ahead share the rest. */
     private static final int BODIES_PART = 4;
     /** Clients get half of the descriptors and members a quarter; the rest is for files and the like. */
@@ -26,6 +29,7 @@
     private static final double IDLE_PART = 0.8;
 
     private final EventLoop loop;
+    private final CommandChannel channel;
     private final FrameFront front;
     private final Departure departure;
 
@@ -43,8 +47,9 @@
         Host host = new Host(new Policy(settings, config.seed()), settings, clock, deadlines, pool);
         Roster roster = new Roster(clock, pool, host);
         roster.start(known);
-        new CommandChannel(loop, clock, deadlines, new CommandChannel.Source(config.channel(), config.zones(),
-                config.kinds(), settings.dialTimeoutUs()), known.cursor(), roster::apply).start();
+        channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
+                config.zones(), config.kinds(), settings.dialTimeoutUs()), known.cursor(), roster::apply);
+        channel.start();
         front = new FrameFront(loop, clock, deadlines, budget, host, settings, config.classes(),
                 new FrameFront.Terms(config.listen(), config.sockets() / CLIENTS_PART, roster::known));
         front.open();
@@ -60,6 +65,18 @@
         return front.port();
     }
 
+    /**
+     * Takes over what a new configuration may change while requests are in flight: the command channel's
+     * address. One that cannot be read changes nothing.
+     */
+    void reload(String file) {
+        try {
+            channel.move(Config.load(file, null).channel());
+        } catch (Json.Malformed bad) {
+            LOG.log(Level.WARNING, "the new configuration is not used: {0}", bad.getMessage());
+        }
+    }
+
     /** Begins a planned end, after which the loop stops. */
     void leave() {
         departure.begin();
--- a/src/main/java/clovermill/Main.java
+++ b/src/main/java/clovermill/Main.java
@@ -10,6 +10,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
 
 /**
@@ -63,6 +64,7 @@
             // Without this the status would be that of the signal; one that has left as asked gives 0.
             Runtime.getRuntime().halt(status[0]);
         }, "departure"));
+        onHangUp(() -> director.loop().post(() -> director.reload(file)));
         System.getLogger(Main.class.getName()).log(Level.INFO, "{0} serves clients on {1}", config.name(),
                 config.listen());
         try {
@@ -72,4 +74,24 @@
             left.countDown();
         }
     }
+
+    /**
+     * Has {@code task} run on SIGHUP, which would end the JVM otherwise. The one way to hear of a signal is a
+     * class that the compiler warns of, so it is named at run time.
+     */
+    private static void onHangUp(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object called = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, args) -> {
+                        task.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), called);
+        } catch (ReflectiveOperationException | IllegalArgumentException unable) {
+            System.getLogger(Main.class.getName()).log(Level.WARNING, "SIGHUP is not heard: {0}", unable.toString());
+        }
+    }
 }
--- a/src/main/java/clovermill/Rehearsal.java
+++ b/src/main/java/clovermill/Rehearsal.java
@@ -61,7 +61,8 @@
 
         Peers(Clock clock) throws IOException {
             loop = new EventLoop(clock, new Deadlines());
-            listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100, Peer::new);
+            listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100, () -> false,
+                    Peer::new);
         }
 
         String address() {
--- a/src/main/java/clovermill/channel/CommandChannel.java
+++ b/src/main/java/clovermill/channel/CommandChannel.java
@@ -20,8 +20,8 @@
  */
 public final class CommandChannel implements Connection.Handler {
 
-    /** How the channel is read: its address, the names of the settings, and the time a dial may take. */
-    public record Source(InetSocketAddress address, List<String> zones, List<String> kinds, long dialUs) { }
+    /** How the channel is read: the names of the settings, and the time a dial may take. */
+    public record Terms(List<String> zones, List<String> kinds, long dialUs) { }
 
     private static final System.Logger LOG = System.getLogger(CommandChannel.class.getName());
     /** Short, because events count as told while the channel is cut off, and silence shows only after it. */
@@ -33,32 +33,49 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Deadlines deadlines;
-    private final Source source;
+    private final Terms terms;
     private final Consumer<Commands> news;
-    private final String host;
+    private InetSocketAddress address;
     private Connection connection;
     private HttpResponses responses;
     private Deadlines.Deadline silence;
+    private Deadlines.Deadline redial;
     private long cursor;
-    private long redialUs = REDIAL_US;
+    /** The first redial leaves at once: what the channel has to tell counts as told soon after a break. */
+    private long redialUs;
 
-    public CommandChannel(EventLoop loop, Clock clock, Deadlines deadlines, Source source, long cursor,
-            Consumer<Commands> news) {
+    public CommandChannel(EventLoop loop, Clock clock, Deadlines deadlines, InetSocketAddress address,
+            Terms terms, long cursor, Consumer<Commands> news) {
         this.loop = loop;
         this.clock = clock;
         this.deadlines = deadlines;
-        this.source = source;
+        this.address = address;
+        this.terms = terms;
         this.cursor = cursor;
         this.news = news;
-        this.host = source.address().getHostString() + ":" + source.address().getPort();
+    }
+
+    /** Goes on at another address, from the event after the last one that was read. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        redialUs = 0;
+        if (connection != null && connection.isOpen()) {
+            connection.close();
+        } else {
+            deadlines.cancel(redial);
+            start();
+        }
     }
 
     /** Dials, and from then on keeps the channel up. */
     public void start() {
         responses = new HttpResponses(this::response);
         try {
-            connection = loop.connect(source.address(), dialled -> this);
-            silence = deadlines.add(clock.micros() + source.dialUs(), connection::close);
+            connection = loop.connect(address, dialled -> this);
+            silence = deadlines.add(clock.micros() + terms.dialUs(), connection::close);
         } catch (IOException failure) {
             closed(failure);
         }
@@ -72,6 +89,7 @@
     private void poll() {
         deadlines.cancel(silence);
         silence = deadlines.add(clock.micros() + BLOCK_MS * 1000 + GRACE_US, connection::close);
+        String host = address.getHostString() + ":" + address.getPort();
         connection.send(ByteBuffer.wrap(("GET /cmd/next?resume=" + cursor + "&block=" + BLOCK_MS
                 + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
     }
@@ -87,11 +105,11 @@
         }
         Commands commands;
         try {
-            commands = Commands.read(Json.parse(body), source.zones(), source.kinds());
+            commands = Commands.read(Json.parse(body), terms.zones(), terms.kinds()).after(cursor);
         } catch (Json.Malformed malformed) {
             throw new ProtocolException(malformed.getMessage());
         }
-        redialUs = REDIAL_US;
+        redialUs = 0;
         if (commands.cursor() > cursor) {
             news.accept(commands);
             cursor = commands.cursor();
@@ -119,7 +137,7 @@
         if (cause instanceof ProtocolException) {
             LOG.log(Level.WARNING, "the command channel: {0}", cause.getMessage());
         }
-        deadlines.add(clock.micros() + redialUs, this::start);
-        redialUs = Math.min(LONGEST_REDIAL_US, 2 * redialUs);
+        redial = deadlines.add(clock.micros() + redialUs, this::start);
+        redialUs = Math.min(LONGEST_REDIAL_US, Math.max(REDIAL_US, 2 * redialUs));
     }
 }
--- a/src/main/java/clovermill/front/FrameConnection.java
+++ b/src/main/java/clovermill/front/FrameConnection.java
@@ -23,16 +23,19 @@
 
     /** What all connections of the front share. */
     record Shared(Host host, RequestReader reader, Budget budget, Clock clock, Deadlines deadlines,
-            long awayMs, BooleanSupplier ready, Consumer<FrameConnection> closed) { }
+            long awayMs, BooleanSupplier ready, IdleConnections idle, Consumer<FrameConnection> closed) { }
 
     private static final int MOST_OPEN = 32;
     /** Nothing more is read from a client that lets so much of its answers lie. */
     private static final long MOST_UNREAD = 1 << 20;
+    /** A client that takes none of its answers for so long is gone, and must not keep their memory. */
+    private static final long STALL_US = 10_000_000;
     /**
-     * A client that takes none of its answers, or stops inside a frame, for so long is gone: nothing may be
-     * heard of that, and it must not keep their memory.
+     * So many answers that turn away, and requests that are withdrawn, are worked on in one span; for more
+     * the client waits. Guards the others against storms of repeats and of cancels.
      */
-    private static final long STALL_US = 10_000_000;
+    private static final int MOST_IN_VAIN = 100;
+    private static final long SPAN_US = 1_000_000;
 
     private final Connection connection;
     private final Shared shared;
@@ -40,9 +43,12 @@
     private final StreamNumbers used = new StreamNumbers();
     private final Map<Long, Stream> open = new HashMap<>();
     private Deadlines.Deadline stall;
+    private Deadlines.Deadline frameBy;
+    private Deadlines.Deadline calm;
+    private long spanUs;
+    private int inVain;
     private long writtenBefore;
-    private boolean unwrittenBefore;
-    private boolean heard;
+    private boolean spoken;
     private boolean leaveAfterNext;
     private boolean closing;
 
@@ -117,24 +123,83 @@
     @Override
     public void received(ByteBuffer data) {
         try {
-            heard = true;
             parser.parse(data);
             if (parser.waitsForRoom()) {
                 connection.pause();
                 shared.budget.await(this::readOn);
             }
-            watch();
+            boundFrame();
+            rest();
         } catch (ProtocolException malformed) {
-            // What was taken before is still answered; then the connection closes.
             data.position(data.limit());
-            fail(0);
-            closing = true;
+            reject();
+        }
+    }
+
+    /** Tells of an error that belongs to no request. What was taken is still answered before the close. */
+    private void reject() {
+        fail(0);
+        closing = true;
+        connection.pause();
+        closeIfDone();
+    }
+
+    /** Guards against frames that never end, and those that come bit by bit: each has a time to be whole. */
+    private void boundFrame() {
+        shared.deadlines.cancel(parser.midFrame() ? null : frameBy);
+        if (!parser.midFrame()) {
+            frameBy = null;
+        } else if (frameBy == null) {
+            frameBy = shared.deadlines.add(shared.clock.micros() + IdleConnections.SILENT_US, () -> {
+                frameBy = null;
+                if (parser.waitsForRoom() || calm != null) {
+                    boundFrame(); // it is this side that does not read
+                } else {
+                    reject();
+                }
+            });
+        }
+    }
+
+    /** Notes that nothing is owed here, or that something is. */
+    private void rest() {
+        if (!connection.isOpen() || !spoken) {
+            return;
+        }
+        if (quiet() && !parser.midFrame()) {
+            shared.idle.rests(this, shared.clock.micros());
+        } else {
+            shared.idle.busy(this);
+        }
+    }
+
+    /** Ends a connection on which nothing is owed; one that is in the middle of a frame is told. */
+    void letGo() {
+        if (parser.midFrame()) {
+            reject();
+        } else {
+            connection.close();
+        }
+    }
+
+    /** Counts what came to nothing; from a client that brings too much of it nothing is read for a while. */
+    private void inVain() {
+        long nowUs = shared.clock.micros();
+        if (nowUs - spanUs >= SPAN_US) {
+            spanUs = nowUs;
+            inVain = 0;
+        }
+        if (++inVain > MOST_IN_VAIN && calm == null && connection.isOpen()) {
             connection.pause();
-            closeIfDone();
+            calm = shared.deadlines.add(spanUs + SPAN_US, () -> {
+                calm = null;
+                readOn();
+            });
         }
     }
 
     private boolean frame(int type, long stream, ByteBuffer payload) throws ProtocolException {
+        spoken = true;
         switch (type) {
             case Frames.REQUEST -> request(stream, payload);
             case Frames.GIVE_UP -> {
@@ -142,6 +207,7 @@
                 if (given != null) {
                     given.end();
                     shared.host.clientGone(given.id);
+                    inVain();
                 }
             }
             case Frames.READY_QUESTION -> connection.send(Frames.answer(Frames.READY_ANSWER, stream,
@@ -152,7 +218,7 @@
             connection.pause();
             return false;
         }
-        return true;
+        return calm == null;
     }
 
     private void request(long stream, ByteBuffer payload) throws ProtocolException {
@@ -190,11 +256,13 @@
     private void refuse(long stream, long afterMs) {
         Map<String, String> fields = afterMs > 0 ? Map.of("after", Long.toString(afterMs)) : Map.of();
         connection.send(Frames.answer(Frames.ANSWER, stream, Frames.REFUSED, fields, 0));
+        inVain();
         answered();
     }
 
     private void fail(long stream) {
         connection.send(Frames.answer(Frames.ANSWER, stream, Frames.FAILED, Map.of(), 0));
+        inVain();
         answered();
     }
 
@@ -203,12 +271,10 @@
         closeIfDone();
     }
 
-    /** Looks again after a while, if there is something unfinished, whether any of it has moved. */
+    /** Looks again after a while, if there are answers to be read, whether any have been. */
     private void watch() {
-        if (stall == null && connection.isOpen() && (connection.queuedBytes() > 0 || parser.midFrame())) {
-            unwrittenBefore = connection.queuedBytes() > 0;
+        if (stall == null && connection.isOpen() && connection.queuedBytes() > 0) {
             writtenBefore = connection.writtenBytes();
-            heard = false;
             stall = shared.deadlines.add(shared.clock.micros() + STALL_US, this::stalled);
         }
     }
@@ -216,8 +282,7 @@
     private void stalled() {
         stall = null;
         // What counts is that nothing has moved: something may well be queued on a busy connection.
-        boolean unread = unwrittenBefore && connection.writtenBytes() == writtenBefore;
-        if (unread || !unwrittenBefore && parser.midFrame() && !heard) {
+        if (connection.queuedBytes() > 0 && connection.writtenBytes() == writtenBefore) {
             connection.close();
         } else {
             watch();
@@ -225,7 +290,7 @@
     }
 
     private void readOn() {
-        if (!closing) {
+        if (!closing && calm == null) {
             connection.resume();
         }
     }
@@ -235,6 +300,7 @@
         if (!parser.waitsForRoom()) {
             readOn();
         }
+        rest();
     }
 
     /** The client sends no more but may still read: what it asked for is answered first. */
@@ -253,6 +319,8 @@
     @Override
     public void closed(IOException cause) {
         shared.deadlines.cancel(stall);
+        shared.deadlines.cancel(frameBy);
+        shared.deadlines.cancel(calm);
         parser.close();
         for (Stream stream : List.copyOf(open.values())) {
             stream.end();
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -22,13 +22,17 @@
 
     /** Kept back from a client's wait for the way there and back, and for a busy core. */
     private static final long MARGIN_US = 20_000;
+    private static final long SWEEP_US = 250_000;
 
     private final EventLoop loop;
     private final Host host;
+    private final Clock clock;
+    private final Deadlines deadlines;
     private final Terms terms;
     private final RequestReader reader;
     private final FrameConnection.Shared shared;
     private final Set<FrameConnection> connections = new LinkedHashSet<>();
+    private final IdleConnections idle = new IdleConnections();
     private EventLoop.Listener listener;
     private boolean leaving;
 
@@ -36,15 +40,23 @@
             Settings settings, List<String> classNames, Terms terms) {
         this.loop = loop;
         this.host = host;
+        this.clock = clock;
+        this.deadlines = deadlines;
         this.terms = terms;
-        this.reader = new RequestReader(classNames, settings.classes(), MARGIN_US);
+        this.reader = new RequestReader(classNames, settings.classes(), settings.paceKbPerS(), MARGIN_US);
         this.shared = new FrameConnection.Shared(host, reader, budget, clock, deadlines,
-                settings.allowed().maxRetryAfterUs() / 1000, this::ready, this::forget);
+                settings.allowed().maxRetryAfterUs() / 1000, this::ready, idle, this::forget);
     }
 
     @Override
     public void open() throws IOException {
-        listener = loop.listen(terms.address(), terms.connections(), this::accepted);
+        listener = loop.listen(terms.address(), terms.connections(), idle::makeRoom, this::accepted);
+        sweep();
+    }
+
+    private void sweep() {
+        idle.sweep(clock.micros());
+        deadlines.add(clock.micros() + SWEEP_US, this::sweep);
     }
 
     /** The port that was bound. */
@@ -55,6 +67,7 @@
     private Connection.Handler accepted(Connection connection) {
         FrameConnection accepted = new FrameConnection(connection, shared);
         connections.add(accepted);
+        idle.came(accepted, clock.micros());
         if (leaving) {
             accepted.leaveAfterNext();
         }
@@ -67,6 +80,7 @@
 
     private void forget(FrameConnection connection) {
         connections.remove(connection);
+        idle.busy(connection);
     }
 
     @Override
--- a/src/main/java/clovermill/front/RequestReader.java
+++ b/src/main/java/clovermill/front/RequestReader.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** Turns the fields of a client's request into what the host takes, and says what is wrong with them. */
 final class RequestReader {
@@ -20,35 +21,56 @@
         }
     }
 
+    /** The protocol's largest body of a write. */
+    private static final int LARGEST_BODY = 48_000;
+    private static final int LAST_PART = 65_535;
+    private static final int LAST_GROUP = 255;
+    /** A part that takes so many times longer to send than any client waits does not exist. */
+    private static final int LONGEST_SENDING = 4;
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
+
     private final Map<String, Integer> classes = new HashMap<>();
     private final List<RequestClass> kinds;
+    private final double paceKbPerS;
     private final long marginUs;
 
     /** {@code marginUs} is kept back from the time that a client waits, for the way of its answer. */
-    RequestReader(List<String> names, List<RequestClass> kinds, long marginUs) {
+    RequestReader(List<String> names, List<RequestClass> kinds, double paceKbPerS, long marginUs) {
         for (String name : names) {
             classes.put(name, classes.size());
         }
         this.kinds = kinds;
+        this.paceKbPerS = paceKbPerS;
         this.marginUs = marginUs;
     }
 
+    /**
+     * Checks every field before anything of the request is kept, told to the module or sent: a cache that
+     * cannot read one line closes on all that is open with it, and a figure that is out of range would be
+     * learned from.
+     */
     Ask read(Map<String, String> fields, byte[] body) throws BadRequest {
         String className = needed(fields, "class");
         Integer index = classes.get(className);
         if (index == null) {
             throw new BadRequest("unknown class");
         }
+        RequestClass kind = kinds.get(index);
         String token = word(fields.get("once"));
-        if (token == null && kinds.get(index).effect() == Effect.DEDUPLICATED) {
+        if (token == null && kind.effect() == Effect.DEDUPLICATED) {
             throw new BadRequest("once is missing");
         }
-        long waitUs = (long) (number(needed(fields, "wait")) * 1000);
+        long waitUs = (long) (number(needed(fields, "wait"), kind.deadlineUs() / 1000.0) * 1000);
+        double longestKb = paceKbPerS > 0 ? LONGEST_SENDING * kind.deadlineUs() / 1e6 * paceKbPerS : Integer.MAX_VALUE;
+        String retry = fields.getOrDefault("retry", "0");
+        if (waitUs == 0 || body.length > LARGEST_BODY || !retry.equals("0") && !retry.equals("1")) {
+            throw new BadRequest("out of range");
+        }
         return new Ask(hex(needed(fields, "id")), index, className, hex(needed(fields, "key")),
-                whole(fields.getOrDefault("seg", "0")), whole(fields.getOrDefault("bucket", "0")),
-                number(fields.getOrDefault("kb", "0")), Math.max(0, waitUs - Math.min(marginUs, waitUs / 4)),
-                fields.containsKey("retry") && !fields.get("retry").equals("0"), token,
-                word(fields.get("etag")), body);
+                whole(fields.getOrDefault("seg", "0"), LAST_PART),
+                whole(fields.getOrDefault("bucket", "0"), LAST_GROUP),
+                number(fields.getOrDefault("kb", "0"), longestKb), waitUs - Math.min(marginUs, waitUs / 4),
+                retry.equals("1"), token, word(fields.get("etag")), body);
     }
 
     private static String needed(Map<String, String> fields, String name) throws BadRequest {
@@ -77,22 +99,18 @@
         return value;
     }
 
-    private static int whole(String value) throws BadRequest {
-        double number = number(value);
-        if (number != Math.rint(number) || number > Integer.MAX_VALUE) {
+    private static int whole(String value, int most) throws BadRequest {
+        double number = number(value, most);
+        if (number != Math.rint(number)) {
             throw new BadRequest("not a whole number");
         }
         return (int) number;
     }
 
-    private static double number(String value) throws BadRequest {
-        try {
-            double number = Double.parseDouble(value);
-            if (number >= 0 && number < 1e12) {
-                return number;
-            }
-        } catch (NumberFormatException e) {
-            // told below
+    private static double number(String value, double most) throws BadRequest {
+        double number = NUMBER.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
+        if (number <= most) {
+            return number;
         }
         throw new BadRequest("not a number in range");
     }
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 /** The one thread of the process: a selector, its connections and the sweep of all deadlines. */
@@ -23,6 +24,8 @@
     private static final int READ_BYTES = 1 << 15;
     private static final int WRITE_BYTES = 1 << 16;
     private static final int BACKLOG = 1024;
+    /** What is accepted in one turn: a storm of connects must not hold up those that are served. */
+    private static final int TURN_ACCEPTS = 16;
     /** After a failed accept (no descriptor is left, say) the listener rests this long. */
     private static final long ACCEPT_REST_US = 50_000;
 
@@ -48,12 +51,14 @@
         private final SelectionKey key;
         private final Function<Connection, Connection.Handler> handlers;
         private final int most;
+        private final BooleanSupplier makeRoom;
         private int accepted;
 
-        private Listener(ServerSocketChannel channel, int most,
+        private Listener(ServerSocketChannel channel, int most, BooleanSupplier makeRoom,
                 Function<Connection, Connection.Handler> handlers) throws IOException {
             this.channel = channel;
             this.most = most;
+            this.makeRoom = makeRoom;
             this.handlers = handlers;
             this.key = channel.register(selector, SelectionKey.OP_ACCEPT, this);
         }
@@ -64,9 +69,11 @@
 
         private void accept() {
             try {
-                for (SocketChannel peer = next(); peer != null; peer = next()) {
+                SocketChannel peer = next();
+                for (int i = 1; peer != null; i++) {
                     accepted++;
                     adopt(peer, SelectionKey.OP_READ, false, handlers, this);
+                    peer = i < TURN_ACCEPTS ? next() : null;
                 }
             } catch (IOException failure) {
                 LOG.log(Level.WARNING, "accepting failed: {0}", failure.getMessage());
@@ -76,7 +83,7 @@
         }
 
         private SocketChannel next() throws IOException {
-            if (accepted >= most) {
+            if (accepted >= most && !makeRoom.getAsBoolean()) {
                 key.interestOps(0);
                 return null;
             }
@@ -103,15 +110,18 @@
     /** What a key carries. */
     private record Attachment(Connection connection, Listener from) { }
 
-    /** Listens on an address; at most {@code most} of its connections are open at a time. */
-    public Listener listen(InetSocketAddress address, int most,
+    /**
+     * Listens on an address; at most {@code most} of its connections are open at a time. {@code makeRoom} is
+     * asked to close one of them when a further one comes, and tells whether it has.
+     */
+    public Listener listen(InetSocketAddress address, int most, BooleanSupplier makeRoom,
             Function<Connection, Connection.Handler> handlers) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             channel.bind(address, BACKLOG);
-            return new Listener(channel, most, handlers);
+            return new Listener(channel, most, makeRoom, handlers);
         } catch (IOException | RuntimeException failure) {
             quietly(channel);
             throw failure;
--- a/src/test/java/clovermill/MainTest.java
+++ b/src/test/java/clovermill/MainTest.java
@@ -43,6 +43,10 @@
         Process process = start(config);
         try (BufferedReader lines = process.inputReader()) {
             assertThat(lines.readLine()).startsWith("INFO n1 serves clients on /127.0.0.1:");
+            // SIGHUP must not end it; a configuration that cannot be read any more is one line in the log.
+            Files.writeString(folder.resolve("config.json"), "{");
+            assertThat(new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor()).isZero();
+            assertThat(lines.readLine()).startsWith("WARNING the new configuration is not used: ");
             process.destroy();
             assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
         }
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -29,11 +29,11 @@
  *                                             also give-up N, ready N, hex BYTES
  * send s-1 ID DONE etag=t | bytes             an answer of a member on its newest connection; raw TEXT as it is
  * send channel {...}                          an answer of the command channel; raw TEXT as it is
- * send director TERM
+ * send director TERM                          also HUP channel=ADDRESS, HUP TEXT: a new configuration
  * expect c1 served 1 etag=t | bytes           also refused, failed, leaving, ready, unready; nothing; closed,
  *                                             whatever came before
  * expect s-1 want ID name=value !name         also never_mind ID, closed, nothing
- * expect channel resume=1                     expect director stopped
+ * expect channel resume=1                     at whatever party is polled; expect director stopped
  * close c1                                    in both directions; with half: only sending; with reset: by a reset
  * close s-1 listener                          takes no connections, they are refused; with deaf: they never come up
  * wait 400                                    milliseconds
@@ -98,20 +98,34 @@
             party.address = "127.0.0.1:" + party.listener.socket().getLocalPort();
             parties.put(name, party);
         }
+        director = new Assembly(Config.read(configuration(), null), new Clock() {
+            @Override
+            public long micros() {
+                return nowUs;
+            }
+
+            @Override
+            public long unixMillis() {
+                return nowUs / 1000;
+            }
+        });
+    }
+
+    private String configuration() throws IOException {
+        return filled(Files.readString(Path.of("src/test/resources/director.json")));
+    }
+
+    private void signal(String what) throws IOException {
+        if (what.equals("TERM")) {
+            director.leave();
+            return;
+        }
+        String text = what.substring("HUP ".length());
         Path file = Files.createTempFile("director", ".json");
         try {
-            Files.writeString(file, filled(Files.readString(Path.of("src/test/resources/director.json"))));
-            director = new Assembly(Config.load(file.toString(), null), new Clock() {
-                @Override
-                public long micros() {
-                    return nowUs;
-                }
-
-                @Override
-                public long unixMillis() {
-                    return nowUs / 1000;
-                }
-            });
+            Files.writeString(file, text.startsWith("channel=") ? configuration().replaceAll(
+                    "\"channel\":\"[^\"]*\"", "\"channel\":\"" + text.substring(8) + "\"") : text);
+            director.reload(file.toString());
         } finally {
             Files.delete(file);
         }
@@ -184,7 +198,7 @@
 
     private void send(String who, String what) throws IOException {
         if (who.equals("director")) {
-            director.leave();
+            signal(what);
             return;
         }
         Party party = party(who);
@@ -248,7 +262,8 @@
         String got = null;
         boolean silence = what.equals("nothing");
         for (int i = 0; i < (silence ? 20 : TURNS) && got == null; i++) {
-            got = who.equals("channel") ? line(party) : party.listener != null ? want(party) : heard(party);
+            boolean http = party.listener != null && party.read.length > 0 && party.read[0] == 'G';
+            got = http ? line(party) : party.listener != null ? want(party) : heard(party);
             if (got == null && party.ended && (party.listener == null || what.equals("closed"))) {
                 break;
             }
