--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -617,7 +617,7 @@
         switch (result) {
             case REFUSED -> crowded(cache);
             case UNCONNECTED -> failed(cache, 1, true);
-            case BROKEN -> failed(cache, NEWS, true);
+            case BROKEN -> broke(cache);
             case TIMED_OUT -> silent(cache, attempt);
             case ERROR -> failed(cache, NEWS, false);
             default -> { }
@@ -631,6 +631,18 @@
         }
     }
 
+    /**
+     * A broken connection ends all that was out on it, which is one failure and no proof of a restart: where
+     * the process is dead, the next connection is refused. Guards healthy members against leaving the ring
+     * over one spoilt answer; could harm where members break at every request and still accept.
+     */
+    private void broke(Node node) {
+        if (now - node.brokeUs >= CROWDED_US) {
+            node.brokeUs = now;
+            failed(node, NEWS, false);
+        }
+    }
+
     private void failed(Node node, double share, boolean lost) {
         node.lost |= lost;
         node.failures += share * (1 - node.failures);
@@ -783,6 +795,7 @@
         long nextTrialUs;
         long crowdedUntilUs;
         long answeredUs = NEVER;
+        long brokeUs = NEVER;
         double credit;
         long creditUs;
 
--- a/src/main/java/clovermill/cache/AnswerParser.java
+++ b/src/main/java/clovermill/cache/AnswerParser.java
@@ -65,6 +65,11 @@
         return words != null && body == null;
     }
 
+    /** Whether a part of an answer has been read. */
+    boolean midAnswer() {
+        return words != null || line.size() > 0;
+    }
+
     /** Gives back what a broken connection leaves unfinished. */
     void close() {
         if (body != null) {
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -96,6 +96,7 @@
     private final ArrayDeque<Exchange> waiting = new ArrayDeque<>();
     private final Set<String> abandoned = new HashSet<>();
     private Deadline dialOrIdle;
+    private Deadline stall;
     private boolean connected;
     private boolean retired;
     private boolean closed;
@@ -202,20 +203,42 @@
             connection.pause();
             budget.await(connection::resume);
         }
+        watch();
+    }
+
+    /**
+     * Guards against an answer that stops short while its connection stays open: what is behind it on the
+     * same connection can never be read, so that all on it would wait in vain for their whole time.
+     */
+    private void watch() {
+        if (stall == null && parser.midAnswer() && connection.isOpen()) {
+            stall = pool.dialDeadline(() -> {
+                stall = null;
+                if (parser.midAnswer() && !parser.waitsForRoom() && pool.dialTimeHasPassed(heardUs)) {
+                    connection.close();
+                } else {
+                    watch();
+                }
+            });
+        }
     }
 
     private void answer(String id, String word, Map<String, String> fields, Body body)
             throws ProtocolException {
         Exchange exchange = open.get(id);
-        if (exchange == null && abandoned.remove(id)) {
+        if (exchange == null || !exchange.begun) {
+            // A late answer, a second copy or one under an unknown id: it costs only itself.
+            abandoned.remove(id);
             body.close();
             return;
         }
-        if (exchange == null || !exchange.begun) {
+        Result result;
+        try {
+            result = result(word);
+        } catch (ProtocolException malformed) {
             body.close();
-            throw new ProtocolException("an answer to no request");
+            throw malformed;
         }
-        Result result = result(word);
         Note note = NOTE_NAMES.getOrDefault(fields.getOrDefault("res", ""), Note.NONE);
         long waitedUs = micros(fields.get("ttfb"));
         open.remove(id);
@@ -251,18 +274,23 @@
         connection.close();
     }
 
-    /** Ends all that is open: what was not written whole has never run, the rest may have. */
+    /**
+     * Ends all that is open: what was not written whole has never run, the rest may have. Only a connection
+     * that did not come up speaks against the member: a reset may come at any time.
+     */
     @Override
     public void closed(IOException cause) {
         closed = true;
         retired = true;
         pool.cancel(dialOrIdle);
+        pool.cancel(stall);
         pool.closed(this);
         parser.close();
         waiting.clear();
         while (!open.isEmpty()) {
             Exchange exchange = open.remove(open.keySet().iterator().next());
-            exchange.end(exchange.whole ? Result.BROKEN : Result.UNCONNECTED, Note.NONE, 0, null);
+            exchange.end(exchange.whole ? Result.BROKEN : connected ? Result.NOT_SENT : Result.UNCONNECTED,
+                    Note.NONE, 0, null);
         }
     }
 
