--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -485,7 +485,7 @@
     private void learn(Pending pending, Attempt attempt, Outcome outcome) {
         Choice choice = attempt.choice;
         Node cache = choice.target;
-        if (choice.rank > 0 && outcome.result() != Result.CANCELLED) {
+        if (choice.rank > 0 && outcome.result() != Result.CANCELLED && outcome.result() != Result.NOT_SENT) {
             believe(pending, cache, outcome.result() == Result.OK);
         }
         if (cache == origin || outcome.note() == Note.ORIGIN_ASKED || outcome.note() == Note.ORIGIN_FAILED
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -123,10 +123,15 @@
                     call.over(), note, waitedUs, null));
         }
 
-        /** Ends it from this side: what was never sent counts as not connected, which proves it. */
+        /**
+         * Ends it from this side: what was never sent in all its time counts as not connected. What was only
+         * withdrawn before its turn to be written came proves that too, but speaks against nobody: clients
+         * that withdraw hundreds at once must not make all members look dead.
+         */
         void giveUp(Result result) {
             boolean mayHaveRun = exchange.giveUp();
-            ended(mayHaveRun ? result : Result.UNCONNECTED, Note.NONE, 0, null);
+            Result unsent = result == Result.TIMED_OUT ? Result.UNCONNECTED : Result.NOT_SENT;
+            ended(mayHaveRun ? result : unsent, Note.NONE, 0, null);
         }
     }
 
--- a/src/test/java/clovermill/FailureTest.java
+++ b/src/test/java/clovermill/FailureTest.java
@@ -16,6 +16,7 @@
 import clovermill.CacheRouter.SendVia;
 import clovermill.CacheRouter.SetTimer;
 import clovermill.CacheRouter.Telling;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -277,4 +278,19 @@
         }
         assertTrue(toDead < 12, toDead + " of 60 went to two caches that could not be reached");
     }
+
+    @Test
+    void whatABrokenConnectionEndsIsOneFailureOfAMemberThatStays() {
+        Director director = Director.ready();
+        String home = director.served(7, Note.HIT).member();
+        List<SendVia> sent = new ArrayList<>();
+        for (int part = 1; part <= 6; part++) {
+            sent.add((SendVia) director.tell(director.request(0, 7, part)).get(0));
+        }
+        for (SendVia each : sent) {
+            director.tell(new Outcome(each.request(), 0, each.member(), Result.BROKEN, 1, false, Note.NONE, 0, null));
+        }
+        SendVia next = (SendVia) director.tell(director.request(0, 7, 9)).get(0);
+        assertEquals(home, next.member());
+    }
 }
--- a/src/test/java/clovermill/host/HostTest.java
+++ b/src/test/java/clovermill/host/HostTest.java
@@ -159,6 +159,14 @@
         assertThat(events).contains(outcome(0, "a", Result.UNCONNECTED, 7000, false));
     }
 
+    /** A storm of cancels must not make members look dead. */
+    @Test
+    void whatIsWithdrawnBeforeItWasWrittenSpeaksAgainstNobody() {
+        mayHaveRun = false;
+        submit(new Send(ID, "a", 7000), new Cancel(ID, 0));
+        assertThat(events).contains(outcome(0, "a", Result.NOT_SENT, 0, false));
+    }
+
     @Test
     void oneAttemptTooManyAndOneAfterTheEndAreNotSent() {
         submit(new Send(ID, "a", 0), new Send(ID, "b", 0), new Send(ID, "c", 0), new Refuse(ID, 250_000),
