Let members leave the ring on proof only, and refuse early where nothing can be sent

Checked: of the causes that made a member look restarted, none was a refused dial: retired connections took up the four places of a member, single time-outs counted as a loss. At fault: CachePool.connectionFor counted retired connections and told UNCONNECTED for a limit of its own; CacheConnection.closed did so for any reset of a new connection; Policy.silent and Policy.blame. Conclusion: only a refused dial, or one that never came up, hints at a restart; an error counts against a cache once another has served the same request; what could not be sent is refused in its first half.

--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -149,6 +149,7 @@
         final long workUs;
         final long aimUs;
         final List<Node> failed = new ArrayList<>();
+        final List<Node> erred = new ArrayList<>(2);
         final Map<Integer, Attempt> out = new HashMap<>(2);
         int sent;
         long mayHaveRunUs = NEVER;
@@ -372,7 +373,8 @@
             pending.mayHaveRunUs = attempt.sentUs;
             pending.mayHaveRunAt = attempt.choice.target;
         }
-        if (outcome.note() == Note.SOURCE_LACKS && parents.members.contains(attempt.choice.source)) {
+        if (outcome.note() == Note.SOURCE_LACKS && parents.members.contains(attempt.choice.source)
+                || pending.erred.size() > 1) {
             end(pending);
         } else if (pending.sent > 1 || outcome.note() == Note.ORIGIN_FAILED) {
             pause(pending);
@@ -417,9 +419,14 @@
         }
     }
 
-    /** Waits a little where no member is left, if the request could still be answered after that. */
+    /**
+     * Waits a little where no member is left, if the request could still be answered after that. One for
+     * which nothing was sent is turned away in the first half of its time: its client can still come again.
+     */
     private void pause(Pending pending) {
-        if (pending.deadlineUs - now < PAUSE_US + pending.workUs + LEAST_ATTEMPT_US) {
+        long left = pending.deadlineUs - now - PAUSE_US;
+        long least = pending.sent > 0 ? 0 : pending.request.graceUs() / 2;
+        if (left < Math.max(least, pending.workUs + LEAST_ATTEMPT_US)) {
             end(pending);
             return;
         }
@@ -509,6 +516,7 @@
                     link.answeredUs = now;
                 }
                 succeeded(cache);
+                pending.erred.forEach(erred -> failed(erred, NEWS, false));
             }
             case CANCELLED, NOT_SENT -> { }
             default -> blame(pending, attempt, outcome);
@@ -613,13 +621,23 @@
         }
     }
 
+    /**
+     * An error speaks against a member once another has served the same request; where two err, the request
+     * is at fault. Guards the ring against clients that ask for what no cache can make anything of.
+     */
     private void blame(Node cache, Attempt attempt, Result result) {
         switch (result) {
             case REFUSED -> crowded(cache);
             case UNCONNECTED -> failed(cache, 1, true);
             case BROKEN -> broke(cache);
             case TIMED_OUT -> silent(cache, attempt);
-            case ERROR -> failed(cache, NEWS, false);
+            case ERROR -> {
+                if (cache == attempt.choice.target) {
+                    attempt.pending.erred.add(cache);
+                } else {
+                    failed(cache, NEWS, false);
+                }
+            }
             default -> { }
         }
     }
@@ -627,7 +645,7 @@
     /** An attempt that ran out of time speaks against a member only if that has answered nothing since. */
     private void silent(Node node, Attempt attempt) {
         if (node != null && node.answeredUs <= attempt.sentUs) {
-            failed(node, NEWS, true);
+            failed(node, NEWS, false);
         }
     }
 
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -10,6 +10,7 @@
 import clovermill.net.Deadlines.Deadline;
 import clovermill.net.ProtocolException;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -110,6 +111,10 @@
         this.dialOrIdle = pool.dialDeadline(connection::close);
     }
 
+    boolean isRetired() {
+        return retired;
+    }
+
     int openExchanges() {
         return open.size();
     }
@@ -276,7 +281,7 @@
 
     /**
      * Ends all that is open: what was not written whole has never run, the rest may have. Only a connection
-     * that did not come up speaks against the member: a reset may come at any time.
+     * that was refused or did not come up in time speaks against the member: a reset may come at any time.
      */
     @Override
     public void closed(IOException cause) {
@@ -287,10 +292,11 @@
         pool.closed(this);
         parser.close();
         waiting.clear();
+        Result unsent = connected || cause != null && !(cause instanceof ConnectException) ? Result.NOT_SENT
+                : Result.UNCONNECTED;
         while (!open.isEmpty()) {
             Exchange exchange = open.remove(open.keySet().iterator().next());
-            exchange.end(exchange.whole ? Result.BROKEN : connected ? Result.NOT_SENT : Result.UNCONNECTED,
-                    Note.NONE, 0, null);
+            exchange.end(exchange.whole ? Result.BROKEN : unsent, Note.NONE, 0, null);
         }
     }
 
--- a/src/main/java/clovermill/cache/CachePool.java
+++ b/src/main/java/clovermill/cache/CachePool.java
@@ -131,16 +131,24 @@
 
     private Exchange send(String member, String id, String source, List<ByteBuffer> request, Ending ending) {
         Peer peer = peers.get(member);
-        CacheConnection connection = peer == null ? null : connectionFor(peer, id);
-        if (connection == null) {
+        CacheConnection connection;
+        try {
+            connection = peer == null ? null : connectionFor(peer, id);
+        } catch (IOException refused) {
             ending.ended(Result.UNCONNECTED, Note.NONE, 0, null);
             return NONE;
         }
+        if (connection == null) {
+            // No such member any more, or a limit on this side: that speaks against no member.
+            ending.ended(Result.NOT_SENT, Note.NONE, 0, null);
+            return NONE;
+        }
         return connection.send(id, source, request, ending);
     }
 
-    /** The connection with the fewest requests, a new one if all are full, or null. */
-    private CacheConnection connectionFor(Peer peer, String id) {
+    /** The connection with the fewest requests, a new one if all are full, or null where none is to be had. */
+    private CacheConnection connectionFor(Peer peer, String id) throws IOException {
+        long inUse = peer.connections.stream().filter(connection -> !connection.isRetired()).count();
         CacheConnection best = null;
         for (CacheConnection connection : peer.connections) {
             if (connection.takes(id, limits.streamsPerConnection())
@@ -148,18 +156,14 @@
                 best = connection;
             }
         }
-        if (best != null || peer.connections.size() >= MOST_PER_MEMBER || dialled >= limits.connections()) {
+        if (best != null || inUse >= MOST_PER_MEMBER || dialled >= limits.connections()) {
             return best;
         }
-        try {
-            loop.connect(peer.address, connection -> {
-                CacheConnection added = new CacheConnection(this, connection, budget);
-                peer.connections.add(added);
-                return added;
-            });
-        } catch (IOException refused) {
-            return null;
-        }
+        loop.connect(peer.address, connection -> {
+            CacheConnection added = new CacheConnection(this, connection, budget);
+            peer.connections.add(added);
+            return added;
+        });
         dialled++;
         return peer.connections.get(peer.connections.size() - 1);
     }
--- a/src/test/java/clovermill/FailureTest.java
+++ b/src/test/java/clovermill/FailureTest.java
@@ -293,4 +293,47 @@
         SendVia next = (SendVia) director.tell(director.request(0, 7, 9)).get(0);
         assertEquals(home, next.member());
     }
+
+    @Test
+    void aRequestThatTwoCachesErrOnIsAtFaultAndTheCachesStay() {
+        Director director = Director.ready();
+        String home = director.served(7, Note.HIT).member();
+        for (int part = 1; part <= 6; part++) {
+            SendVia first = (SendVia) director.tell(director.request(0, 7, part)).get(0);
+            SendVia second = (SendVia) director.tell(erred(first, 0)).get(0);
+            assertNotEquals(first.member(), second.member());
+            assertInstanceOf(Refuse.class, director.tell(erred(second, 1)).get(0), "no third attempt");
+        }
+        assertEquals(home, director.served(7, Note.HIT).member());
+    }
+
+    @Test
+    void aCacheThatErrsOnWhatOthersServeLeavesTheRing() {
+        Director director = Director.ready();
+        String home = director.served(7, Note.HIT).member();
+        for (int part = 1; part <= 2; part++) {
+            SendVia second = (SendVia) director.tell(erred((SendVia) director.tell(director.request(0, 7, part)).get(0),
+                    0)).get(0);
+            director.answer(second, 1, Result.OK, Note.FILLED, 1);
+        }
+        assertNotEquals(home, ((SendVia) director.tell(director.request(0, 7, 9)).get(0)).member());
+    }
+
+    private static Outcome erred(SendVia sent, int attempt) {
+        return new Outcome(sent.request(), attempt, sent.member(), Result.ERROR, 1, false, Note.NONE, 0, null);
+    }
+
+    @Test
+    void aRequestForWhichNoMemberIsLeftIsTurnedAwayInTheFirstHalfOfItsTime() {
+        Director director = new Director(Director.settings(false, Telling.ALL), 1);
+        director.tell(new Members(ListScope.FULL, List.of()));
+        Action next = director.tell(director.request(0, 5, 0)).get(0);
+        long start = director.now;
+        while (next instanceof SetTimer timer) {
+            director.now += timer.delayUs();
+            next = director.tell(new CacheRouter.Timer(timer.token())).get(0);
+        }
+        assertInstanceOf(Refuse.class, next);
+        assertTrue(director.now - start <= 3_000_000, "of six seconds, after " + (director.now - start));
+    }
 }
