Say ready only one second after the start, when its processor time has come back

Ruled out: the origin (the wait told was 56 to 60 ms), the members (other directors were served), the length of a turn of the loop. At fault: the start takes some 0.3 s of processor time of a director with a quarter of a core, which is short when clients come, as they do once all directors are ready (Assembly, FrameFront.ready).

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -29,12 +29,18 @@
     private static final double IDLE_PART = 0.8;
 
     private final EventLoop loop;
+    /**
+     * A start uses up processor time ahead, of which the first requests are short then: without this pause all
+     * stood still for some 0.4 s, and the module took the late answers for members without room.
+     */
+    static final long SETTLE_US = 1_000_000;
+
     private final CommandChannel channel;
     private final FrameFront front;
     private final Departure departure;
 
-    /** Listens and serves as soon as the loop runs. */
-    Assembly(Config config, Clock clock) throws IOException, Json.Malformed {
+    /** Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. */
+    Assembly(Config config, Clock clock, long settleUs) throws IOException, Json.Malformed {
         CacheRouter.Settings settings = config.settings();
         Commands known = Commands.read(config.known(), config.zones(), config.kinds());
         Deadlines deadlines = new Deadlines();
@@ -50,8 +56,10 @@
         channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
                 config.zones(), config.kinds(), settings.dialTimeoutUs()), known.cursor(), roster::apply);
         channel.start();
+        long settledUs = clock.micros() + settleUs;
         front = new FrameFront(loop, clock, deadlines, budget, host, settings, config.classes(),
-                new FrameFront.Terms(config.listen(), config.sockets() / CLIENTS_PART, roster::known));
+                new FrameFront.Terms(config.listen(), config.sockets() / CLIENTS_PART,
+                () -> roster.known() && clock.micros() >= settledUs));
         front.open();
         departure = new Departure(loop, clock, deadlines, front);
     }
--- a/src/main/java/clovermill/Main.java
+++ b/src/main/java/clovermill/Main.java
@@ -51,7 +51,7 @@
             throw new Json.Malformed("BALANCER_CONFIG is not set");
         }
         Config config = Config.load(file, System.getenv("BALANCER_LISTEN"));
-        Assembly director = new Assembly(config, Clock.system());
+        Assembly director = new Assembly(config, Clock.system(), Assembly.SETTLE_US);
         int[] status = {1};
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -89,7 +89,7 @@
         }
     }
 
-    Scenario() throws Exception {
+    Scenario(long settleUs) throws Exception {
         for (String name : List.of("s-1", "s-2", "p-1", "o-1", "channel")) {
             Party party = new Party();
             party.listener = ServerSocketChannel.open();
@@ -108,7 +108,7 @@
             public long unixMillis() {
                 return nowUs / 1000;
             }
-        });
+        }, settleUs);
     }
 
     private String configuration() throws IOException {
