Spread the requests to a member over connections, so that a spoilt answer costs few

Ruled out: waiting for dials, since a request only uses a further connection once it is up. At fault: CachePool.connectionFor opened a second connection only when all streams were taken. The scenarios' parties now keep several connections apart.

--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -115,6 +115,10 @@
         return retired;
     }
 
+    boolean isConnected() {
+        return connected;
+    }
+
     int openExchanges() {
         return open.size();
     }
--- a/src/main/java/clovermill/cache/CachePool.java
+++ b/src/main/java/clovermill/cache/CachePool.java
@@ -26,8 +26,10 @@
     /** What bounds the pool. */
     public record Limits(int streamsPerConnection, int connections, long dialUs, long idleUs) { }
 
-    /** One connection carries many requests; a second is for a member that has all streams taken. */
-    private static final int MOST_PER_MEMBER = 4;
+    /** So many requests share a connection before a further one is dialled. */
+    private static final int SHARED = 2;
+    /** A single member gets this part of all connections at most. */
+    private static final int MEMBER_PART = 8;
 
     private static final Exchange NONE = () -> false;
 
@@ -146,17 +148,30 @@
         return connection.send(id, source, request, ending);
     }
 
-    /** The connection with the fewest requests, a new one if all are full, or null where none is to be had. */
+    /**
+     * The connection with the fewest requests, or null where none is to be had. While those are more than a
+     * few, a further connection comes up beside it: one answer that is spoilt costs all that share its
+     * connection. Nothing waits for a dial if there is a connection already.
+     */
     private CacheConnection connectionFor(Peer peer, String id) throws IOException {
-        long inUse = peer.connections.stream().filter(connection -> !connection.isRetired()).count();
         CacheConnection best = null;
+        int inUse = 0;
+        boolean dialling = false;
         for (CacheConnection connection : peer.connections) {
-            if (connection.takes(id, limits.streamsPerConnection())
-                    && (best == null || connection.openExchanges() < best.openExchanges())) {
-                best = connection;
+            if (!connection.isRetired()) {
+                inUse++;
+                dialling |= !connection.isConnected();
+                if (connection.takes(id, limits.streamsPerConnection()) && (best == null
+                        || connection.isConnected() && !best.isConnected()
+                        || connection.isConnected() == best.isConnected()
+                        && connection.openExchanges() < best.openExchanges())) {
+                    best = connection;
+                }
             }
         }
-        if (best != null || inUse >= MOST_PER_MEMBER || dialled >= limits.connections()) {
+        boolean few = best != null && (dialling || best.openExchanges() < SHARED);
+        int most = Math.max(2, limits.connections() / MEMBER_PART);
+        if (few || inUse >= most || dialled >= limits.connections()) {
             return best;
         }
         loop.connect(peer.address, connection -> {
@@ -165,7 +180,7 @@
             return added;
         });
         dialled++;
-        return peer.connections.get(peer.connections.size() - 1);
+        return best != null ? best : peer.connections.get(peer.connections.size() - 1);
     }
 
     void closed(CacheConnection connection) {
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -50,27 +51,21 @@
     private final List<SocketChannel> fillers = new ArrayList<>();
     private final Assembly director;
 
-    /** A client connection, or a party that listens: a member or the channel. */
-    private static final class Party {
-        ServerSocketChannel listener;
-        String address;
-        SocketChannel channel;
+    /** One connection of a party, and what has arrived on it. */
+    private static final class Link {
+        final SocketChannel channel;
         byte[] read = {};
         boolean ended;
-        boolean deaf;
 
-        /** Takes over what has arrived; a newer connection to a listener stands in for the older one. */
-        void poll() throws IOException {
-            boolean accepts = listener != null && !deaf && listener.isOpen();
-            for (SocketChannel newer; accepts && (newer = listener.accept()) != null;) {
-                newer.configureBlocking(false);
-                channel = newer;
-                read = new byte[0];
-                ended = false;
-            }
+        Link(SocketChannel channel) throws IOException {
+            this.channel = channel;
+            channel.configureBlocking(false);
+        }
+
+        void poll() {
             ByteBuffer buffer = ByteBuffer.allocate(1 << 16);
             try {
-                while (channel != null && !ended && channel.read(buffer.clear()) != 0) {
+                while (!ended && channel.read(buffer.clear()) != 0) {
                     int count = buffer.flip().remaining();
                     ended = count == 0;
                     int old = read.length;
@@ -89,6 +84,33 @@
         }
     }
 
+    /** A client with its one connection, or a party that listens, and the link that was spoken on last. */
+    private static final class Party {
+        ServerSocketChannel listener;
+        String address;
+        boolean deaf;
+        Link link;
+        final List<Link> links = new ArrayList<>();
+        final Map<String, Link> asked = new HashMap<>();
+
+        /** Takes over what has arrived; a newer connection stands in for one that has ended. */
+        void poll() throws IOException {
+            boolean accepts = listener != null && !deaf && listener.isOpen();
+            for (SocketChannel newer; accepts && (newer = listener.accept()) != null;) {
+                links.add(new Link(newer));
+            }
+            links.forEach(Link::poll);
+            if (!links.isEmpty() && (link == null || link.ended)) {
+                Link newest = links.get(links.size() - 1);
+                link = link == null || !newest.ended ? newest : link;
+            }
+        }
+
+        boolean ended() {
+            return link != null && link.ended;
+        }
+    }
+
     Scenario(long settleUs) throws Exception {
         for (String name : List.of("s-1", "s-2", "p-1", "o-1", "channel")) {
             Party party = new Party();
@@ -180,16 +202,19 @@
 
     private void turn(long mostMs) throws IOException {
         director.loop().turn(mostMs);
+        for (Party party : parties.values()) {
+            party.poll();
+        }
     }
 
     private Party party(String name) throws IOException {
         Party party = parties.get(name);
         if (party == null) {
             party = new Party();
-            party.channel = SocketChannel.open();
-            party.channel.setOption(StandardSocketOptions.SO_RCVBUF, 1 << 16);
-            party.channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), director.port()));
-            party.channel.configureBlocking(false);
+            SocketChannel channel = SocketChannel.open();
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, 1 << 16);
+            channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), director.port()));
+            party.links.add(new Link(channel));
             parties.put(name, party);
         }
         party.poll();
@@ -204,8 +229,9 @@
         Party party = party(who);
         ByteBuffer bytes = ByteBuffer.wrap(what.startsWith("raw ") ? unescaped(what.substring(4))
                 : who.equals("channel") ? response(what) : party.listener != null ? answer(what) : frame(what));
+        party.link = party.asked.getOrDefault(what.split(" ")[0], party.link);
         for (int i = 0; i < TURNS && bytes.hasRemaining(); i++) {
-            party.channel.write(bytes);
+            party.link.channel.write(bytes);
             turn(0);
         }
         turn(1);
@@ -261,17 +287,17 @@
         Party party = party(who);
         String got = null;
         boolean silence = what.equals("nothing");
-        for (int i = 0; i < (silence ? 20 : TURNS) && got == null; i++) {
-            boolean http = party.listener != null && party.read.length > 0 && party.read[0] == 'G';
-            got = http ? line(party) : party.listener != null ? want(party) : heard(party);
-            if (got == null && party.ended && (party.listener == null || what.equals("closed"))) {
+        boolean closing = what.equals("closed");
+        for (int i = 0; i < (silence ? 20 : TURNS) && (got == null || !silence && !matches(what, got)); i++) {
+            got = closing ? null : party.listener == null ? heard(party.link) : asked(party, what);
+            if (got == null && party.ended() && (party.listener == null || closing)
+                    || got != null && party.listener == null) {
                 break;
             }
-            got = what.equals("closed") ? null : got;
             turn(silence ? 0 : 1);
             party.poll();
         }
-        got = got == null && party.ended ? "closed" : got == null ? "nothing" : got;
+        got = got == null && party.ended() ? "closed" : got == null ? "nothing" : got;
         if (!matches(what, got)) {
             throw new AssertionError("but got: " + got);
         }
@@ -287,33 +313,50 @@
                 && (want.length < 2 || have.length > 1 && body(want).equals(have[1]));
     }
 
-    /** The next line of HTTP that matters: the request's; headers are passed over. */
-    private static String line(Party party) {
-        int end = new String(party.read, StandardCharsets.US_ASCII).indexOf("\r\n\r\n");
-        return end < 0 ? null : new String(party.take(end + 4), StandardCharsets.US_ASCII).split("\r\n")[0];
+    /** What a listening party is asked next, on the connection on which it is what was expected, if there is one. */
+    private static String asked(Party party, String expected) {
+        String first = null;
+        for (Link link : party.links.stream().filter(each -> !each.ended || each == party.link).toList()) {
+            byte[] before = link.read;
+            String next = before.length > 0 && before[0] == 'G' ? poll(link) : want(link);
+            if (next != null && matches(expected, next)) {
+                party.link = link;
+                party.asked.put(next.split(" ")[1], link);
+                return next;
+            }
+            link.read = before;
+            first = first == null ? next : first;
+        }
+        return first;
+    }
+
+    /** The next request of HTTP, whose headers are passed over. */
+    private static String poll(Link link) {
+        int end = new String(link.read, StandardCharsets.US_ASCII).indexOf("\r\n\r\n");
+        return end < 0 ? null : new String(link.take(end + 4), StandardCharsets.US_ASCII).split("\r\n")[0];
     }
 
-    private static String want(Party party) {
-        String text = new String(party.read, StandardCharsets.ISO_8859_1);
+    private static String want(Link link) {
+        String text = new String(link.read, StandardCharsets.ISO_8859_1);
         int end = text.indexOf("\r\n");
         if (end < 0) {
             return null;
         }
         String[] words = text.substring(0, end).split(" ");
         int length = words.length < 4 ? -2 : Integer.parseInt(words[3]);
-        if (party.read.length < end + 4 + length) {
+        if (link.read.length < end + 4 + length) {
             return null;
         }
-        String taken = new String(party.take(end + 4 + length), StandardCharsets.ISO_8859_1);
+        String taken = new String(link.take(end + 4 + length), StandardCharsets.ISO_8859_1);
         return taken.substring(0, end) + (length > 0 ? " | " + taken.substring(end + 2, end + 2 + length) : "");
     }
 
-    private static String heard(Party party) {
-        ByteBuffer bytes = ByteBuffer.wrap(party.read).order(ByteOrder.LITTLE_ENDIAN);
+    private static String heard(Link link) {
+        ByteBuffer bytes = ByteBuffer.wrap(link.read).order(ByteOrder.LITTLE_ENDIAN);
         if (bytes.remaining() < 4 || bytes.remaining() < 4 + bytes.getInt(0)) {
             return null;
         }
-        ByteBuffer frame = ByteBuffer.wrap(party.take(4 + bytes.getInt(0))).order(ByteOrder.LITTLE_ENDIAN).position(4);
+        ByteBuffer frame = ByteBuffer.wrap(link.take(4 + bytes.getInt(0))).order(ByteOrder.LITTLE_ENDIAN).position(4);
         int type = frame.get();
         long stream = frame.getInt();
         if (type == 9) {
@@ -341,7 +384,7 @@
     private void close(String who, String how) throws IOException {
         Party party = party(who);
         switch (how) {
-            case "half" -> party.channel.shutdownOutput();
+            case "half" -> party.link.channel.shutdownOutput();
             case "listener" -> party.listener.close();
             case "deaf" -> {
                 // A full backlog: the kernel drops what else would connect, as if nobody were there.
@@ -354,10 +397,10 @@
                 }
             }
             case "reset" -> {
-                party.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-                party.channel.close();
+                party.link.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                party.link.channel.close();
             }
-            default -> party.channel.close();
+            default -> party.link.channel.close();
         }
         turn(1);
     }
@@ -371,8 +414,8 @@
             if (party.listener != null) {
                 party.listener.close();
             }
-            if (party.channel != null) {
-                party.channel.close();
+            for (Link link : party.links) {
+                link.channel.close();
             }
         }
     }
