Keep less back of a short wait, and refuse at once what cannot be sent in its time

Checked: a probe printed the waits: most clients then wait 50 to 300 ms, often less than the part takes to send, and 20 ms or a quarter of that was kept back though the 99th percentile of an answer's way is 1.2 ms. Ruled out: members that hang (elapsed is the client's own wait), health, cold members. At fault: RequestReader.read kept back a quarter of short waits; Policy.attempt sent what could not be done.

--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -60,6 +60,8 @@
     private static final double COLD_MARGIN = 0.7;
     /** Least time for which an attempt is worth its while: a round trip to a far hub. */
     private static final long LEAST_ATTEMPT_US = 20_000;
+    /** No answer comes in less than this part of the time that its size asks for at full pace. */
+    private static final double FASTEST = 0.8;
     /** A request that has no member left waits this long; a refused client is asked to, where it heeds. */
     private static final long PAUSE_US = 100_000;
     /** The token of the timer after which the list is asked for again. */
@@ -201,7 +203,8 @@
     /** Sends the next attempt of a request, or ends it where none is left. */
     private void attempt(Pending pending) {
         long left = pending.deadlineUs - now;
-        if (left < LEAST_ATTEMPT_US || pending.sent >= settings.allowed().maxAttempts()) {
+        if (left < Math.max(LEAST_ATTEMPT_US, FASTEST * pending.workUs)
+                || pending.sent >= settings.allowed().maxAttempts()) {
             end(pending);
             return;
         }
--- a/src/main/java/clovermill/front/RequestReader.java
+++ b/src/main/java/clovermill/front/RequestReader.java
@@ -27,6 +27,8 @@
     private static final int LAST_GROUP = 255;
     /** A part that takes so many times longer to send than any client waits does not exist. */
     private static final int LONGEST_SENDING = 4;
+    /** Of a short wait only this part is kept back: a client in a hurry has none to spare. */
+    private static final int MARGIN_PART = 16;
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
 
     private final Map<String, Integer> classes = new HashMap<>();
@@ -69,7 +71,7 @@
         return new Ask(hex(needed(fields, "id")), index, className, hex(needed(fields, "key")),
                 whole(fields.getOrDefault("seg", "0"), LAST_PART),
                 whole(fields.getOrDefault("bucket", "0"), LAST_GROUP),
-                number(fields.getOrDefault("kb", "0"), longestKb), waitUs - Math.min(marginUs, waitUs / 4),
+                number(fields.getOrDefault("kb", "0"), longestKb), waitUs - Math.min(marginUs, waitUs / MARGIN_PART),
                 retry.equals("1"), token, word(fields.get("etag")), body);
     }
 
