Spare whoever has just connected, and make room only for a connection that is there

Ruled out: fields that cannot be used (none), the members and the module (no request of these reached them). At fault: IdleConnections.makeRoom preferred even the newest silent connection to the longest idle one, and Listener.next made room before it knew of a further connection, so that each accept closed one too many. Conclusion: idle connections give way before one that has just come.

--- a/src/main/java/clovermill/Rehearsal.java
+++ b/src/main/java/clovermill/Rehearsal.java
@@ -61,7 +61,7 @@
 
         Peers(Clock clock) throws IOException {
             loop = new EventLoop(clock, new Deadlines());
-            listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100, () -> false,
+            listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100, () -> { },
                     Peer::new);
         }
 
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -50,7 +50,8 @@
 
     @Override
     public void open() throws IOException {
-        listener = loop.listen(terms.address(), terms.connections(), idle::makeRoom, this::accepted);
+        listener = loop.listen(terms.address(), terms.connections(), () -> idle.makeRoom(clock.micros()),
+                this::accepted);
         sweep();
     }
 
--- a/src/main/java/clovermill/front/IdleConnections.java
+++ b/src/main/java/clovermill/front/IdleConnections.java
@@ -15,6 +15,11 @@
     private static final long IDLE_US = 5_000_000;
     /** What has not brought a whole frame by then, in one go or bit by bit, is no usual client. */
     static final long SILENT_US = 2_000_000;
+    /**
+     * Whoever has just connected is about to ask: closing that costs the request, while an idle connection
+     * costs its client another connect.
+     */
+    private static final long JUST_COME_US = 100_000;
 
     private final Map<FrameConnection, Long> silent = new LinkedHashMap<>();
     private final Map<FrameConnection, Long> idle = new LinkedHashMap<>();
@@ -43,9 +48,11 @@
         }
     }
 
-    /** Gives one place free, if any can be, that of a silent one first. */
-    boolean makeRoom() {
-        return letGo(silent, Long.MAX_VALUE) || letGo(idle, Long.MAX_VALUE);
+    /** Gives one place free, if any can be: that of a silent one first, but of one that has just come last. */
+    void makeRoom(long nowUs) {
+        if (!letGo(silent, nowUs - JUST_COME_US) && !letGo(idle, nowUs)) {
+            letGo(silent, nowUs);
+        }
     }
 
     private static boolean letGo(Map<FrameConnection, Long> from, long sinceUs) {
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 /** The one thread of the process: a selector, its connections and the sweep of all deadlines. */
@@ -45,16 +44,16 @@
         this.selector = Selector.open();
     }
 
-    /** A listening socket; {@code most} connections accepted from it are open at a time. */
+    /** A listening socket; it counts the connections accepted from it that are open. */
     public final class Listener implements AutoCloseable {
         private final ServerSocketChannel channel;
         private final SelectionKey key;
         private final Function<Connection, Connection.Handler> handlers;
         private final int most;
-        private final BooleanSupplier makeRoom;
+        private final Runnable makeRoom;
         private int accepted;
 
-        private Listener(ServerSocketChannel channel, int most, BooleanSupplier makeRoom,
+        private Listener(ServerSocketChannel channel, int most, Runnable makeRoom,
                 Function<Connection, Connection.Handler> handlers) throws IOException {
             this.channel = channel;
             this.most = most;
@@ -72,6 +71,9 @@
                 SocketChannel peer = next();
                 for (int i = 1; peer != null; i++) {
                     accepted++;
+                    if (accepted > most) {
+                        makeRoom.run();
+                    }
                     adopt(peer, SelectionKey.OP_READ, false, handlers, this);
                     peer = i < TURN_ACCEPTS ? next() : null;
                 }
@@ -83,7 +85,7 @@
         }
 
         private SocketChannel next() throws IOException {
-            if (accepted >= most && !makeRoom.getAsBoolean()) {
+            if (accepted > most) {
                 key.interestOps(0);
                 return null;
             }
@@ -111,10 +113,10 @@
     private record Attachment(Connection connection, Listener from) { }
 
     /**
-     * Listens on an address; at most {@code most} of its connections are open at a time. {@code makeRoom} is
-     * asked to close one of them when a further one comes, and tells whether it has.
+     * Listens on an address; {@code most} of its connections may be open at a time. When a further one has
+     * come, {@code makeRoom} is asked to close another; until one is closed no more are taken.
      */
-    public Listener listen(InetSocketAddress address, int most, BooleanSupplier makeRoom,
+    public Listener listen(InetSocketAddress address, int most, Runnable makeRoom,
             Function<Connection, Connection.Handler> handlers) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
