Send a request whose answer is overdue to a second member, unless many are

Ruled out: refusals for want of room (11), cold members. At fault: Policy.attempt gave each attempt all the time that was left, and nothing looked at it before; CacheConnection kept a connection on which nothing came any more. Conclusion: a hedge keeps no copy, runs after the event that may end its request, and orders are sent again only inside their window.

--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -56,6 +56,9 @@
     private static final double FULL = 4;
     /** A member that turned work away is left alone for about the time of an answer. */
     private static final long CROWDED_US = 200_000;
+    /** Part of all requests whose answer may be overdue for them to be sent twice, and how many at once. */
+    private static final double HEDGED = 0.1;
+    private static final double MOST_HEDGED = 10;
     /** Share of a cold member's budget that is used: weights are rough and directors uneven. */
     private static final double COLD_MARGIN = 0.7;
     /** Least time for which an attempt is worth its while: a round trip to a far hub. */
@@ -79,6 +82,8 @@
      * lest a jam shows only in the answers that get through. Could harm where many answers are lost.
      */
     private final PriorityQueue<Attempt> counted = new PriorityQueue<>(Comparator.comparing(Attempt::dueUs));
+    /** First attempts of requests that may be sent twice, by when their answer is overdue. */
+    private final PriorityQueue<Attempt> hedges = new PriorityQueue<>(Comparator.comparing(Attempt::hedgeUs));
     private final Map<PartKey, Copies> parts = new LinkedHashMap<>(1024, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -99,6 +104,7 @@
     private long now;
     private long nextToken;
     private double originInVain;
+    private double hedgeCredit;
     private long originUs;
     private Consumer<Action> out;
 
@@ -141,6 +147,10 @@
         } else if (event instanceof Timer timer) {
             onTimer(timer);
         }
+        // Only now: the event may have ended a request, or told of a member that drains.
+        while (!hedges.isEmpty() && hedges.peek().hedgeUs() <= now) {
+            hedge(hedges.poll());
+        }
     }
 
     /** A request without a final answer, or with attempts still out. */
@@ -181,7 +191,13 @@
 
     /** An attempt that is out, when it is late, and what target, filler and link held when it was sent. */
     private record Attempt(int index, Pending pending, Choice choice, long sentUs, long dueUs,
-            double[] loads) { }
+            double[] loads) {
+
+        /** A hit that takes half of the wanted time is overdue; a fill may take a little longer. */
+        long hedgeUs() {
+            return sentUs + (long) ((choice.believed ? 0.5 : HAND_OVER) * (dueUs - sentUs));
+        }
+    }
 
     private record PartKey(long object, int part) {
         PartKey(Request request) {
@@ -197,9 +213,36 @@
         requests.put(request.id(), pending);
         double mean = meanWorkUs[request.requestClass()];
         meanWorkUs[request.requestClass()] = mean == 0 ? pending.workUs : mean + (pending.workUs - mean) / 64;
+        hedgeCredit = Math.min(MOST_HEDGED, hedgeCredit + HEDGED);
         attempt(pending);
     }
 
+    /**
+     * Sends a request whose answer is overdue to another member too, which keeps no copy; the first answer
+     * counts. Guards against answers that never arrive, which nothing else tells of. Where more than a small
+     * part is overdue it is a jam, and none is sent twice. Could harm where a fleet is slow but complete.
+     */
+    private void hedge(Attempt first) {
+        Pending pending = first.pending;
+        long left = pending.deadlineUs - now;
+        if (pending.over || !pending.out.containsValue(first)) {
+            return;
+        }
+        hedgeCredit = Math.max(-MOST_HEDGED, hedgeCredit - 1);
+        if (hedgeCredit < 0 || left < Math.max(LEAST_ATTEMPT_US, FASTEST * pending.workUs)) {
+            return;
+        }
+        pending.failed.add(first.choice.target);
+        if (pending.kind.effect() != Effect.IDEMPOTENT) {
+            pending.mayHaveRunUs = first.sentUs; // it is in flight, which binds a repeat as if it had run
+            pending.mayHaveRunAt = first.choice.target;
+        }
+        Choice choice = pending.kind.goesThrough() ? chooseForWrite(pending) : choose(pending);
+        if (choice != null && choice != LOADED && mayRepeatAt(pending, choice.target)) {
+            send(pending, new Choice(choice.target, choice.source, 0, choice.believed), left);
+        }
+    }
+
     /** Sends the next attempt of a request, or ends it where none is left. */
     private void attempt(Pending pending) {
         long left = pending.deadlineUs - now;
@@ -345,6 +388,9 @@
         hold(attempt, 1);
         pending.out.put(index, attempt);
         counted.add(attempt);
+        if (index == 0 && pending.kind.effect() != Effect.AT_MOST_ONCE && settings.allowed().secondCopies()) {
+            hedges.add(attempt);
+        }
         if (choice.source == null) {
             out.accept(new Send(request.id(), target.id, left));
             return;
@@ -369,13 +415,16 @@
         }
         learn(pending, attempt, outcome);
         if (outcome.over() || pending.over) {
-            over(pending);
+            onGone(pending);
             return;
         }
         if (!outcome.result().neverRan() && pending.mayHaveRunUs == NEVER) {
             pending.mayHaveRunUs = attempt.sentUs;
             pending.mayHaveRunAt = attempt.choice.target;
         }
+        if (!pending.out.isEmpty()) {
+            return; // its other copy may still be answered
+        }
         if (outcome.note() == Note.SOURCE_LACKS && parents.members.contains(attempt.choice.source)
                 || pending.erred.size() > 1) {
             end(pending);
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -43,7 +43,6 @@
         private final Upstream.Ending ending;
         private boolean begun;
         private boolean whole;
-        private long begunUs;
         private Deadline beginBy;
 
         Exchange(String id, String source, List<ByteBuffer> request, Upstream.Ending ending) {
@@ -61,9 +60,9 @@
                 if (begun) {
                     abandoned.add(id);
                     connection.send(text("never_mind " + id + "\r\n"));
-                    // Guards against a machine that vanished: it resets nothing, so a connection on which
-                    // nothing came while a request waited in vain is not trusted with another one.
-                    boolean silent = heardUs < begunUs && pool.dialTimeHasPassed(begunUs);
+                    // Guards against a machine that vanished, and one that answers no more here: it resets
+                    // nothing, so a connection on which nothing came while requests waited is not trusted.
+                    boolean silent = unheardSinceUs > 0 && pool.dialTimeHasPassed(unheardSinceUs);
                     if (silent || abandoned.size() >= MOST_ABANDONED) {
                         retire();
                     }
@@ -76,7 +75,7 @@
         private void begin() {
             pool.cancel(beginBy);
             begun = true;
-            begunUs = pool.now();
+            unheardSinceUs = unheardSinceUs == 0 ? pool.now() : unheardSinceUs;
             for (ByteBuffer part : request.subList(0, request.size() - 1)) {
                 connection.send(part);
             }
@@ -102,6 +101,8 @@
     private boolean retired;
     private boolean closed;
     private long heardUs;
+    /** When the first request went out since anything was heard; 0 if none did. */
+    private long unheardSinceUs;
 
     CacheConnection(CachePool pool, Connection connection, Budget budget) {
         this.pool = pool;
@@ -207,6 +208,7 @@
     @Override
     public void received(ByteBuffer data) throws IOException {
         heardUs = pool.now();
+        unheardSinceUs = 0;
         parser.parse(data);
         if (parser.waitsForRoom()) {
             connection.pause();
@@ -251,6 +253,7 @@
         Note note = NOTE_NAMES.getOrDefault(fields.getOrDefault("res", ""), Note.NONE);
         long waitedUs = micros(fields.get("ttfb"));
         open.remove(id);
+        unheardSinceUs = open.isEmpty() ? 0 : heardUs;
         Answer answer = result != Result.OK ? null : new Answer(body, word.equals("KEEP"), fields.get("etag"));
         if (answer == null) {
             body.close();
--- a/src/test/java/clovermill/Director.java
+++ b/src/test/java/clovermill/Director.java
@@ -65,7 +65,7 @@
 
     /** The same with a number of directors in zone 1. */
     static Settings settings(boolean straight, Telling telling, int crew) {
-        Permissions allowed = new Permissions(straight, true, true, false, false, false, 6, 1000, 0);
+        Permissions allowed = new Permissions(straight, true, true, true, false, false, 6, 1000, 0);
         return new Settings(0, crew + 1, 1, List.of(READ, KEYED, ONCE, FRESH), List.of(0, crew, 1), List.of(0, 0, 0),
                 PARENT,
                 ORIGIN, 1000, true, Siblings.LOCATION, telling, COLD, PARENT_COLD, 2_000_000, 8_000,
--- a/src/test/java/clovermill/FailureTest.java
+++ b/src/test/java/clovermill/FailureTest.java
@@ -336,4 +336,21 @@
         assertInstanceOf(Refuse.class, next);
         assertTrue(director.now - start <= 3_000_000, "of six seconds, after " + (director.now - start));
     }
+
+    @Test
+    void aRequestWhoseAnswerIsOverdueIsSentToAnotherCacheToo() {
+        Director director = Director.ready();
+        for (int i = 0; i < 40; i++) {
+            director.served(i, Note.HIT);
+        }
+        SendVia first = (SendVia) director.tell(director.request(0, 7, 1)).get(0);
+        director.now += 2_000_000;
+        SendVia second = (SendVia) director.tell(director.request(0, 8, 1)).get(1);
+        assertEquals(first.request(), second.request());
+        assertNotEquals(first.member(), second.member());
+        assertEquals(0, second.rank(), "the second copy leaves nothing behind");
+        List<Action> after = director.tell(new Outcome(second.request(), 1, second.member(), Result.OK, 9, true,
+                Note.FILLED, 0, null));
+        assertEquals(List.of(new CacheRouter.Cancel(first.request(), 0)), after, "nobody waits for the first");
+    }
 }
