--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,3 @@
-JAR = target/clovermill.jar
 # The flags that keep the whole process within 192 MB stand in the deploy file's run command.
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
