A director that cannot hear SIGHUP looks at its configuration file instead

Change: Signals finds it out from the handler that registering replaces and says so in one line (SIGTERM likewise); Reloader then looks at the file twice a second on the loop. After a signal it looks for 4 s more, so a file that is missing or half written just then is taken. ConfigWatch decides what is read and warned of; Silence tells once of a command channel that says nothing for 3 s, and how long when it ends. Ruled out: reading /proc, which only Linux has.

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -12,14 +12,13 @@
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
+import clovermill.reload.Reloader;
 import java.io.IOException;
-import java.lang.System.Logger.Level;
+import java.nio.file.Path;
 
 /** One director: its parts, wired together. */
 final class Assembly {
 
-    private static final System.Logger LOG = System.getLogger(Assembly.class.getName());
-
     /** Bodies may take this part of the heap; beliefs, open requests and what is read ahead share the rest. */
     private static final int BODIES_PART = 4;
     /** Clients get half of the descriptors and members a quarter; the rest is for files and the like. */
@@ -38,9 +37,13 @@
     private final CommandChannel channel;
     private final FrameFront front;
     private final Departure departure;
+    private final Reloader reloader;
 
-    /** Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. */
-    Assembly(Config config, Clock clock, long settleUs) throws IOException, Json.Malformed {
+    /**
+     * Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. Later
+     * configurations come from {@code file}.
+     */
+    Assembly(Config config, Path file, Clock clock, long settleUs) throws IOException, Json.Malformed {
         CacheRouter.Settings settings = config.settings();
         Commands known = Commands.read(config.known(), config.zones(), config.kinds());
         Deadlines deadlines = new Deadlines();
@@ -62,6 +65,8 @@
                 () -> roster.known() && clock.micros() >= settledUs));
         front.open();
         departure = new Departure(loop, clock, deadlines, front);
+        // What a new configuration may change while requests are in flight: the command channel's address.
+        reloader = new Reloader(file, clock, deadlines, changed -> channel.move(changed.channel()));
     }
 
     EventLoop loop() {
@@ -73,16 +78,9 @@
         return front.port();
     }
 
-    /**
-     * Takes over what a new configuration may change while requests are in flight: the command channel's
-     * address. One that cannot be read changes nothing.
-     */
-    void reload(String file) {
-        try {
-            channel.move(Config.load(file, null).channel());
-        } catch (Json.Malformed bad) {
-            LOG.log(Level.WARNING, "the new configuration is not used: {0}", bad.getMessage());
-        }
+    /** Takes new configurations in. */
+    Reloader reloader() {
+        return reloader;
     }
 
     /** Begins a planned end, after which the loop stops. */
--- a/src/main/java/clovermill/Main.java
+++ b/src/main/java/clovermill/Main.java
@@ -5,12 +5,13 @@
 import clovermill.config.Config;
 import clovermill.config.Json;
 import clovermill.net.Clock;
+import clovermill.reload.Signals;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.lang.reflect.Proxy;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
 /**
@@ -19,6 +20,8 @@
  */
 public final class Main {
 
+    private static final System.Logger LOG = System.getLogger(Main.class.getName());
+
     private Main() { }
 
     /** Exits with 0 at the end, 1 on malformed input or a bad configuration, 2 on wrong usage. */
@@ -51,7 +54,7 @@
             throw new Json.Malformed("BALANCER_CONFIG is not set");
         }
         Config config = Config.load(file, System.getenv("BALANCER_LISTEN"));
-        Assembly director = new Assembly(config, Clock.system(), Assembly.SETTLE_US);
+        Assembly director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US);
         int[] status = {1};
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -64,9 +67,8 @@
             // Without this the status would be that of the signal; one that has left as asked gives 0.
             Runtime.getRuntime().halt(status[0]);
         }, "departure"));
-        onHangUp(() -> director.loop().post(() -> director.reload(file)));
-        System.getLogger(Main.class.getName()).log(Level.INFO, "{0} serves clients on {1}", config.name(),
-                config.listen());
+        hearSignals(director);
+        LOG.log(Level.INFO, "{0} serves clients on {1}", config.name(), config.listen());
         try {
             director.loop().run();
             status[0] = 0;
@@ -75,23 +77,18 @@
         }
     }
 
-    /**
-     * Has {@code task} run on SIGHUP, which would end the JVM otherwise. The one way to hear of a signal is a
-     * class that the compiler warns of, so it is named at run time.
-     */
-    private static void onHangUp(Runnable task) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object called = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (self, method, args) -> {
-                        task.run();
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), called);
-        } catch (ReflectiveOperationException | IllegalArgumentException unable) {
-            System.getLogger(Main.class.getName()).log(Level.WARNING, "SIGHUP is not heard: {0}", unable.toString());
+    /** SIGHUP, which would end the JVM, brings a new configuration; what cannot be heard is said. */
+    private static void hearSignals(Assembly director) {
+        Signals.Hearing hangUp = Signals.onSignal("HUP",
+                () -> director.loop().post(director.reloader()::signalled));
+        if (hangUp != Signals.Hearing.HEARD) {
+            LOG.log(Level.WARNING, "SIGHUP is {0} in this process (nohup does that): the configuration file is"
+                    + " looked at for changes instead", hangUp == Signals.Hearing.IGNORED ? "ignored" : "unavailable");
+            director.loop().post(director.reloader()::watchAlways);
+        }
+        if (Signals.hearing("TERM") == Signals.Hearing.IGNORED) {
+            LOG.log(Level.WARNING, "SIGTERM is ignored in this process: it cannot be asked to leave, and what is"
+                    + " open when it is killed is lost");
         }
     }
 }
--- a/src/main/java/clovermill/channel/CommandChannel.java
+++ b/src/main/java/clovermill/channel/CommandChannel.java
@@ -29,12 +29,15 @@
     private static final long GRACE_US = 500_000;
     private static final long REDIAL_US = 50_000;
     private static final long LONGEST_REDIAL_US = 800_000;
+    /** What the channel has to tell counts as told 2 s after the end of the wait that was asked for. */
+    private static final long LONGEST_SILENCE_US = BLOCK_MS * 1000 + 2_000_000;
 
     private final EventLoop loop;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Terms terms;
     private final Consumer<Commands> news;
+    private final Silence quiet;
     private InetSocketAddress address;
     private Connection connection;
     private HttpResponses responses;
@@ -53,6 +56,7 @@
         this.terms = terms;
         this.cursor = cursor;
         this.news = news;
+        this.quiet = new Silence(LONGEST_SILENCE_US, clock.micros());
     }
 
     /** Goes on at another address, from the event after the last one that was read. */
@@ -66,12 +70,25 @@
             connection.close();
         } else {
             deadlines.cancel(redial);
-            start();
+            dial();
         }
     }
 
     /** Dials, and from then on keeps the channel up. */
     public void start() {
+        listen();
+        dial();
+    }
+
+    private void listen() {
+        if (quiet.tooLong(clock.micros())) {
+            LOG.log(Level.WARNING, "the command channel at {0} has told nothing for {1} ms; purges and changes of the"
+                    + " list of members may be missed", address, Long.toString(LONGEST_SILENCE_US / 1000));
+        }
+        deadlines.add(quiet.nextLookUs(clock.micros()), this::listen);
+    }
+
+    private void dial() {
         responses = new HttpResponses(this::response);
         try {
             connection = loop.connect(address, dialled -> this);
@@ -110,6 +127,11 @@
             throw new ProtocolException(malformed.getMessage());
         }
         redialUs = 0;
+        long quietUs = quiet.heard(clock.micros());
+        if (quietUs > 0) {
+            LOG.log(Level.INFO, "the command channel at {0} tells again, after {1} ms", address,
+                    Long.toString(quietUs / 1000));
+        }
         if (commands.cursor() > cursor) {
             news.accept(commands);
             cursor = commands.cursor();
@@ -137,7 +159,7 @@
         if (cause instanceof ProtocolException) {
             LOG.log(Level.WARNING, "the command channel: {0}", cause.getMessage());
         }
-        redial = deadlines.add(clock.micros() + redialUs, this::start);
+        redial = deadlines.add(clock.micros() + redialUs, this::dial);
         redialUs = Math.min(LONGEST_REDIAL_US, Math.max(REDIAL_US, 2 * redialUs));
     }
 }
--- a/src/test/java/clovermill/MainTest.java
+++ b/src/test/java/clovermill/MainTest.java
@@ -4,9 +4,15 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -17,17 +23,98 @@
     @TempDir
     private Path folder;
 
-    private Process start(String config) throws IOException {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", "target/classes", "-Djava.util.logging.SimpleFormatter.format=%4$s %5$s%6$s%n",
-                "clovermill.Main", "serve");
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+
+    /** Starts a director by way of a shell, which may have signals ignored before. */
+    private Process start(String config, String... shell) throws IOException {
+        Files.writeString(file(), config);
+        List<String> command = new ArrayList<>();
+        if (shell.length > 0) {
+            command.addAll(List.of("sh", "-c", shell[0] + "; exec \"$0\" \"$@\""));
+        }
+        command.addAll(List.of(JAVA, "-cp", "target/classes",
+                "-Djava.util.logging.SimpleFormatter.format=%4$s %5$s%6$s%n", "clovermill.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        Path file = file();
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.environment().remove("BALANCER_LISTEN");
         return builder.redirectErrorStream(true).start();
     }
 
+    private Path file() {
+        return folder.resolve("config.json");
+    }
+
+    /** A configuration with the command channel at such a port and members that nobody plays. */
+    private static String config(int channelPort) throws IOException {
+        return Files.readString(Path.of("src/test/resources/director.json"))
+                .replace("${channel}", "127.0.0.1:" + channelPort).replaceAll("\\$\\{[^}]*}", "127.0.0.1:1");
+    }
+
+    private static ServerSocket channel() throws IOException {
+        ServerSocket channel = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        channel.setSoTimeout(20_000);
+        return channel;
+    }
+
+    /** The new file comes by rename, so that it is never seen in part. */
+    private void replace(String config) throws IOException {
+        Path fresh = folder.resolve("fresh.json");
+        Files.writeString(fresh, config);
+        Files.move(fresh, file(), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** What nohup does: the channel must move all the same, in far less than the 4 s that the rules give. */
+    @Test
+    void aDirectorThatCannotHearHangUpTakesTheNewFileAllTheSame() throws Exception {
+        try (ServerSocket before = channel(); ServerSocket after = channel()) {
+            Process process = start(config(before.getLocalPort()), "trap '' HUP");
+            try (BufferedReader lines = process.inputReader(); Socket first = before.accept()) {
+                assertThat(first.isConnected()).isTrue();
+                assertThat(lines.readLine()).startsWith("WARNING SIGHUP is ignored in this process");
+                assertThat(lines.readLine()).startsWith("INFO n1 serves clients on /127.0.0.1:");
+                replace(config(after.getLocalPort()));
+                assertThat(new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor()).isZero();
+                long fromNs = System.nanoTime();
+                after.accept().close();
+                assertThat(System.nanoTime() - fromNs).isLessThan(4_000_000_000L);
+            } finally {
+                process.destroy();
+                assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            }
+        }
+    }
+
+    @Test
+    void aDirectorThatHearsHangUpMovesAtTheSignalOnly() throws Exception {
+        try (ServerSocket before = channel(); ServerSocket after = channel()) {
+            Process process = start(config(before.getLocalPort()), ":");
+            try (BufferedReader lines = process.inputReader(); Socket first = before.accept()) {
+                assertThat(first.isConnected()).isTrue();
+                assertThat(lines.readLine()).startsWith("INFO n1 serves clients on /127.0.0.1:");
+                replace(config(after.getLocalPort()));
+                assertThat(new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor()).isZero();
+                after.accept().close();
+            } finally {
+                process.destroy();
+                assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            }
+        }
+    }
+
+    @Test
+    void aDirectorThatCannotBeAskedToLeaveOrHearsNoNewsSaysSo() throws Exception {
+        Process process = start(config(1), "trap '' TERM");
+        try (BufferedReader lines = process.inputReader()) {
+            assertThat(lines.readLine()).startsWith("WARNING SIGTERM is ignored in this process");
+            assertThat(lines.readLine()).startsWith("INFO n1 serves clients on ");
+            assertThat(lines.readLine()).contains("127.0.0.1:1 has told nothing for 3000 ms");
+        } finally {
+            process.destroyForcibly();
+            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLineAndAnExitStatus() throws Exception {
         Process process = start("{\"name\":\"n1\"}");
@@ -38,9 +125,7 @@
 
     @Test
     void aDirectorThatIsAskedToStopExitsWithZero() throws Exception {
-        String config = Files.readString(Path.of("src/test/resources/director.json"))
-                .replaceAll("\\$\\{[^}]*}", "127.0.0.1:1");
-        Process process = start(config);
+        Process process = start(config(1));
         try (BufferedReader lines = process.inputReader()) {
             assertThat(lines.readLine()).startsWith("INFO n1 serves clients on /127.0.0.1:");
             // SIGHUP must not end it; a configuration that cannot be read any more is one line in the log.
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -30,7 +30,8 @@
  *                                             also give-up N, ready N, hex BYTES
  * send s-1 ID DONE etag=t | bytes             an answer of a member on its newest connection; raw TEXT as it is
  * send channel {...}                          an answer of the command channel; raw TEXT as it is
- * send director TERM                          also HUP channel=ADDRESS, HUP TEXT: a new configuration
+ * send director TERM                          also HUP channel=ADDRESS, HUP TEXT: a new configuration; FILE with
+ *                                             the same: without a signal; FILE - removes it; DEAF: no SIGHUP comes
  * expect c1 served 1 etag=t | bytes           also refused, failed, leaving, ready, unready; nothing; closed,
  *                                             whatever came before
  * expect s-1 want ID name=value !name         also never_mind ID, closed, nothing
@@ -49,6 +50,7 @@
     private long nowUs = 1_700_000_000_000_000L;
     private final Map<String, Party> parties = new LinkedHashMap<>();
     private final List<SocketChannel> fillers = new ArrayList<>();
+    private final Path folder;
     private final Assembly director;
 
     /** One connection of a party, and what has arrived on it. */
@@ -120,7 +122,9 @@
             party.address = "127.0.0.1:" + party.listener.socket().getLocalPort();
             parties.put(name, party);
         }
-        director = new Assembly(Config.read(configuration(), null), new Clock() {
+        folder = Files.createTempDirectory("scenario");
+        Files.writeString(file(), configuration());
+        director = new Assembly(Config.read(configuration(), null), file(), new Clock() {
             @Override
             public long micros() {
                 return nowUs;
@@ -137,19 +141,26 @@
         return filled(Files.readString(Path.of("src/test/resources/director.json")));
     }
 
+    private Path file() {
+        return folder.resolve("config.json");
+    }
+
     private void signal(String what) throws IOException {
-        if (what.equals("TERM")) {
-            director.leave();
-            return;
-        }
-        String text = what.substring("HUP ".length());
-        Path file = Files.createTempFile("director", ".json");
-        try {
-            Files.writeString(file, text.startsWith("channel=") ? configuration().replaceAll(
-                    "\"channel\":\"[^\"]*\"", "\"channel\":\"" + text.substring(8) + "\"") : text);
-            director.reload(file.toString());
-        } finally {
-            Files.delete(file);
+        String[] parts = what.split(" ", 2);
+        switch (parts[0]) {
+            case "TERM" -> director.leave();
+            case "DEAF" -> director.reloader().watchAlways();
+            default -> {
+                if (parts[1].equals("-")) {
+                    Files.delete(file());
+                } else {
+                    Files.writeString(file(), parts[1].startsWith("channel=") ? configuration().replaceAll(
+                            "\"channel\":\"[^\"]*\"", "\"channel\":\"" + parts[1].substring(8) + "\"") : parts[1]);
+                }
+                if (parts[0].equals("HUP")) {
+                    director.reloader().signalled();
+                }
+            }
         }
     }
 
@@ -407,6 +418,8 @@
 
     @Override
     public void close() throws IOException {
+        Files.deleteIfExists(file());
+        Files.delete(folder);
         for (SocketChannel filler : fillers) {
             filler.close();
         }
