--- a/src/main/java/clovermill/cli/LedgerCommand.java
+++ b/src/main/java/clovermill/cli/LedgerCommand.java
@@ -355,8 +355,7 @@
         @Override
         public Integer call() throws Exception {
             LedgerSettings settings = settings();
-            long throughMs = Closer.close(folder(), settings.periodMs(), settings.latenessS() * 1000,
-                    System.currentTimeMillis(), Volume.local());
+            long throughMs = Closer.close(folder(), settings, System.currentTimeMillis(), Volume.local());
             if (json()) {
                 Output.json(out(), Map.of("through", time(throughMs)));
             } else {
--- a/src/main/java/clovermill/ledger/Closer.java
+++ b/src/main/java/clovermill/ledger/Closer.java
@@ -14,18 +14,21 @@
     private Closer() { }
 
     /**
-     * Closes what ended {@code latenessMs} before {@code nowMs}; returns the time through which is closed now.
-     * Throws {@link FolderLock.Held} while a director writes: it closes by itself.
+     * Writes down what a killed director left staged and closes what ended by {@code nowMs}, less the lateness that
+     * the settings allow; returns the time through which is closed now. Throws {@link FolderLock.Held} while a
+     * director writes: it closes by itself.
      */
-    public static long close(LedgerFolder folder, long periodMs, long latenessMs, long nowMs, Volume volume)
+    public static long close(LedgerFolder folder, LedgerSettings settings, long nowMs, Volume volume)
             throws IOException {
+        long periodMs = settings.periodMs();
         LedgerFolder.Identity identity = folder.identity();
         return FolderLock.holding(folder.writerLock(), () -> {
+            Rescue.run(folder, identity, Ledger.staged(settings, identity), volume);
             LedgerStart start = LedgerStart.of(folder, false);
             if (start.throughMs() == Long.MIN_VALUE) {
                 throw new IOException(folder.path() + " holds no segment yet");
             }
-            OptionalLong due = new Closing(periodMs, latenessMs, start.throughMs()).due(nowMs);
+            OptionalLong due = new Closing(periodMs, settings.latenessS() * 1000, start.throughMs()).due(nowMs);
             if (due.isEmpty()) {
                 return start.throughMs();
             }
--- a/src/main/java/clovermill/ledger/Ledger.java
+++ b/src/main/java/clovermill/ledger/Ledger.java
@@ -26,7 +26,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -51,12 +50,6 @@
     private static final int MOST_MISSED = 4096;
     /** About what a record takes. */
     private static final int ENTRY_BYTES = 90;
-    /**
-     * Records are staged a few at a time: the code for it is cold when it runs once between requests, and took five
-     * times as long then. So much is lost when the process is killed.
-     */
-    private static final long NOTED_US = 5_000;
-    private static final int MOST_NOTED = 32;
     /** Gaps that are queued at once, so that they do not fill the queue by themselves. */
     private static final int GAPS_AT_ONCE = 256;
 
@@ -78,8 +71,6 @@
     private final Map<String, Integer> kinds = new HashMap<>();
     /** Entries that may not be missed and wait for room: closings, steps of the clock. */
     private final ArrayDeque<Entry> owed = new ArrayDeque<>();
-    private final List<Usage> noted = new ArrayList<>(MOST_NOTED);
-    private Deadlines.Deadline noting;
     private long seq;
     private long closings;
     private boolean refusing;
@@ -149,7 +140,7 @@
     }
 
     /** The file of the stage; null where there is no such folder: the process's own memory serves then. */
-    private static Path staged(LedgerSettings settings, LedgerFolder.Identity identity) {
+    static Path staged(LedgerSettings settings, LedgerFolder.Identity identity) {
         Path in = Path.of(settings.stageFolder());
         return settings.stageFolder().isEmpty() || !Files.isDirectory(in) ? null
                 : in.resolve("clovermill-" + identity.folder() + ".stage");
@@ -186,29 +177,12 @@
 
     @Override
     public void ended(Usage usage) {
-        if (usage.admitted() && !allowances.isEmpty()) {
-            allowances.ended(rules.tenant(usage.ask().requestClass(), usage.ask().group()),
-                    timeline.at(usage.takenUs() / 1000), usage.written(), timeline.at(usage.endedUs() / 1000));
-        }
-        noted.add(usage);
-        if (noted.size() >= MOST_NOTED) {
-            stageNoted();
-        } else if (noting == null) {
-            noting = deadlines.add(clock.micros() + NOTED_US, this::stageNoted);
-        }
-    }
-
-    private void stageNoted() {
-        deadlines.cancel(noting);
-        noting = null;
-        noted.forEach(this::stage);
-        noted.clear();
-    }
-
-    private void stage(Usage usage) {
         Ask ask = usage.ask();
         String tenant = rules.tenant(ask.requestClass(), ask.group());
         long takenMs = timeline.at(usage.takenUs() / 1000);
+        if (usage.admitted()) {
+            allowances.ended(tenant, takenMs, usage.written(), timeline.at(usage.endedUs() / 1000));
+        }
         How how = how(usage);
         // What a joined fill brought is counted with the request that began it.
         int fromOrigin = how == How.ORIGIN ? usage.size() : 0;
@@ -298,7 +272,6 @@
 
     /** Once a second: compares the clocks, closes periods, and catches up on what was missed. */
     private void tick() {
-        stageNoted();
         long monoMs = clock.micros() / 1000;
         long wallMs = clock.unixMillis();
         Timeline.Step step = timeline.observe(wallMs, monoMs);
@@ -333,7 +306,6 @@
     /** Writes down all that is still owed, for as long as the settings allow, and lets go of the folder. */
     @Override
     public void close() throws IOException {
-        stageNoted();
         missed.take(Integer.MAX_VALUE).forEach(this::owe);
         long untilNs = System.nanoTime() + settings.leaveMs() * 1_000_000;
         do {
--- a/src/main/java/clovermill/ledger/Stage.java
+++ b/src/main/java/clovermill/ledger/Stage.java
@@ -26,6 +26,7 @@
     /** Magic, the ledger's folder, epoch. */
     private static final int HEAD_BYTES = 32;
     private static final int PAGES = 16;
+    private static final int PIECE = 1 << 16;
     /** A page holds the longest entry. */
     private static final int SMALLEST_PAGE = 1024;
 
@@ -69,9 +70,10 @@
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
                 StandardOpenOption.WRITE)) {
             // Written, not only made long: memory that is there cannot fail to be there later.
-            ByteBuffer zeros = ByteBuffer.allocate(bytes);
-            while (zeros.hasRemaining()) {
-                channel.write(zeros);
+            // In pieces: the JVM copies each by way of direct memory, of which a director has little.
+            ByteBuffer zeros = ByteBuffer.allocate(PIECE);
+            for (int left = bytes; left > 0;) {
+                left -= channel.write(zeros.limit(Math.min(left, PIECE)).position(0));
             }
             return channel.map(FileChannel.MapMode.READ_WRITE, 0, bytes);
         }
--- a/src/main/java/clovermill/store/Volume.java
+++ b/src/main/java/clovermill/store/Volume.java
@@ -41,6 +41,14 @@
         return new LocalVolume();
     }
 
+    /** Writes in pieces: the JVM copies each by way of direct memory, of which a director has little. */
+    private static void writeAll(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            ByteBuffer piece = bytes.slice(bytes.position(), Math.min(bytes.remaining(), 1 << 16));
+            bytes.position(bytes.position() + channel.write(piece));
+        }
+    }
+
     /** Files by way of NIO. */
     final class LocalVolume implements Volume {
 
@@ -56,10 +64,7 @@
             Path fresh = file.resolveSibling(file.getFileName() + ".new");
             try (FileChannel channel = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                     StandardOpenOption.TRUNCATE_EXISTING)) {
-                ByteBuffer bytes = ByteBuffer.wrap(content);
-                while (bytes.hasRemaining()) {
-                    channel.write(bytes);
-                }
+                writeAll(channel, ByteBuffer.wrap(content));
                 CrashPoint.reached("store.replace.before-sync");
                 channel.force(true);
             }
@@ -95,9 +100,7 @@
 
         @Override
         public void write(ByteBuffer bytes) throws IOException {
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
-            }
+            writeAll(channel, bytes);
         }
 
         @Override
--- a/src/test/java/clovermill/MainTest.java
+++ b/src/test/java/clovermill/MainTest.java
@@ -115,6 +115,28 @@
         }
     }
 
+    /** The deployment's bounds on memory, with the largest things that a ledger asks for at a start. */
+    @Test
+    void aDirectorWithLittleMemoryKeepsALedger() throws Exception {
+        Path settings = folder.resolve("settings.json");
+        Files.writeString(settings, "{\"log\":{\"format\":\"json\"},\"ledger\":{\"folder\":\""
+                + folder.resolve("l") + "\",\"stage_folder\":\"" + folder + "\"}}");
+        Files.writeString(file(), config(1));
+        ProcessBuilder builder = new ProcessBuilder(JAVA, "-Xmx88m", "-XX:MaxDirectMemorySize=8m", "-cp",
+                System.getProperty("java.class.path"), "clovermill.cli.Main", "serve", "--settings",
+                settings.toString());
+        builder.environment().put("BALANCER_CONFIG", file().toString());
+        builder.environment().remove("BALANCER_LISTEN");
+        Process process = builder.redirectErrorStream(true).start();
+        try (BufferedReader lines = process.inputReader()) {
+            assertThat(lines.readLine()).contains("begins epoch 1").startsWith("{").endsWith("}");
+            assertThat(lines.readLine()).contains("n1 serves clients on ");
+            process.destroy();
+            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        }
+        assertThat(process.exitValue()).isZero();
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLineAndAnExitStatus() throws Exception {
         Process process = start("{\"name\":\"n1\"}");
