Ask a cache for what it holds where no fill would come in time, and tell slow hubs from a slow origin

`Policy.choose` refused them all as fills. - The hubs were not full: answers that a hub held came stretched 1.2 to 1.5 as ever, those of the slowed origin 7 to 14. `paced` took the origin's time for the hub's and the link's room. 118 time-outs a second at the origin's hubs told nothing, as `learn` counted only failures that named the origin. - One slowed hub answered ten times late while 120 fills were out on it: `handle` asked whether the link had answered, and the other hub's answers said yes, so each director learned it only from its own first late answer. - While all caches of a location were cold, 100 requests waited in turns of 100 ms. Ruled out: purged copies (no rule broken), connections (33 descriptors), failed dials (none). Change: such a request asks its cache without a source, joining a fill under way, and a miss ends it at once; late and timed-out fills count for the origin, which is spared by asking for held copies only; rooms are learned from what a hub held; silence is judged by the hub's own answers, and what a hub explains is not the link's; a location whose caches are all cold goes straight to a hub with room.

--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -112,7 +112,6 @@
     public Policy(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
-        link.role = Role.CACHE;
         this.meanWorkUs = new double[settings.classes().size()];
     }
 
@@ -123,9 +122,9 @@
         while (!counted.isEmpty() && counted.peek().dueUs <= now) {
             Attempt late = counted.poll();
             hold(late, -1);
-            boolean fill = late.choice.filler() != null;
-            if ((fill ? link : late.choice.target).answeredUs <= late.sentUs) {
-                paced(late, fill, late.pending.aimUs);
+            Node slow = late.choice.filler() == null ? late.choice.target : late.choice.source;
+            if (slow.answeredUs <= late.sentUs) {
+                paced(late, slow != late.choice.target, late.pending.aimUs);
             }
         }
         caches.advance(now, node -> !cold(node));
@@ -178,7 +177,7 @@
     }
 
     /** Where an attempt goes and whence a miss is filled; a null source means a plain send. */
-    private record Choice(Node target, Node source, int rank, boolean believed) {
+    private record Choice(Node target, Node source, int rank, boolean believed, boolean sparing) {
 
         /** The parent or origin that is expected to fill, or null. */
         Node filler() {
@@ -187,7 +186,7 @@
     }
 
     /** Stands for no choice because no member could answer in time. */
-    private static final Choice LOADED = new Choice(null, null, 0, false);
+    private static final Choice LOADED = new Choice(null, null, 0, false, false);
 
     /** An attempt that is out, when it is late, and what target, filler and link held when it was sent. */
     private record Attempt(int index, Pending pending, Choice choice, long sentUs, long dueUs,
@@ -199,11 +198,7 @@
         }
     }
 
-    private record PartKey(long object, int part) {
-        PartKey(Request request) {
-            this(request.object(), request.part());
-        }
-    }
+    private record PartKey(long object, int part) { }
 
     // ---- Request path ---------------------------------------------------------------------------
 
@@ -239,7 +234,7 @@
         }
         Choice choice = pending.kind.goesThrough() ? chooseForWrite(pending) : choose(pending);
         if (choice != null && choice != LOADED && mayRepeatAt(pending, choice.target)) {
-            send(pending, new Choice(choice.target, choice.source, 0, choice.believed), left);
+            send(pending, new Choice(choice.target, choice.source, 0, choice.believed, choice.sparing), left);
         }
     }
 
@@ -266,7 +261,7 @@
     private Choice choose(Pending pending) {
         Request request = pending.request;
         int n = caches.members.size();
-        Copies copies = parts.computeIfAbsent(new PartKey(request), key -> new Copies());
+        Copies copies = copiesOf(request);
         double[] passes = copies.passes(n, now);
         int firstLeaf = n < 2 ? 0 : (n - 2) / ARITY + 1;
         int node = firstLeaf + random.nextInt(Math.max(1, n - firstLeaf));
@@ -285,7 +280,7 @@
         Node home = cacheAt(0, pending);
         target = target == null ? home : target;
         if (target == null) {
-            return caches.members.stream().anyMatch(this::fit) ? null : straight(pending);
+            return caches.members.stream().anyMatch(c -> fit(c) && !cold(c)) ? null : straight(pending);
         }
         Node roomy = withRoom(target, copies, pending);
         if (roomy == null) {
@@ -295,11 +290,12 @@
         Node source = promoted || roomy != target || believed && roomy != home
                 ? holderAbove(node, roomy, copies, pending) : null;
         source = source == null ? parentFor(pending, !believed) : source;
-        if (source == null && !believed && !parents.members.isEmpty() || source == origin && spareOrigin()
-                || !believed && source != null && source.role != Role.CACHE && !hasRoom(link, pending, 1)) {
-            return LOADED;
-        }
-        return new Choice(roomy, source == null ? roomy : source, RANK, believed);
+        boolean outside = source != null && source.role != Role.CACHE;
+        boolean sparing = outside && spareOrigin();
+        // Where no fill would come in time, a cache may yet hold what fellows have asked it for.
+        boolean none = source == null || sparing && source == origin
+                || outside && !believed && !hasRoom(link, pending, 1);
+        return new Choice(roomy, none ? roomy : source, RANK, believed, sparing);
     }
 
     /** The cache of a tree node: the first one clockwise from its point that can take this request. */
@@ -321,10 +317,9 @@
     }
 
     /**
-     * Consistent hashing with bounded loads, against hot objects, uneven weights and slow or cold caches
-     * alike: a cache whose answer would come late hands over within the object's tree, to a holder if there
-     * is one. Null where no cache could answer in the wanted time; more work would only make the rest late
-     * too. Could harm where a pace is misread: copies, or refusals, without need.
+     * Consistent hashing with bounded loads, against hot objects, uneven weights and slow or cold caches: one
+     * whose answer would come late hands over within the object's tree, best to a holder. Null where none
+     * could answer in time: more work would only make the rest late too. Could harm if a pace is misread.
      */
     private Node withRoom(Node target, Copies copies, Pending pending) {
         if (hasRoom(target, pending, HAND_OVER)) {
@@ -344,9 +339,8 @@
     }
 
     /**
-     * The parent hashed over all listed; the next if unfit; the origin only when none is up. For a fill that
-     * is to come in time, the next one too where the first is loaded, and null where all are. Guards hits
-     * against fills that crowd a link, a hub or the origin; could harm if fills only look slow.
+     * The parent hashed over all listed; the next if unfit; the origin only when none is up. In time: the
+     * next one too where the first is loaded, null where all are. Could harm if fills only look slow.
      */
     private Node parentFor(Pending pending, boolean inTime) {
         long point = mix(pending.request.object());
@@ -358,21 +352,21 @@
                 : parents.firstFrom(point, n -> usable(n, pending) && hasRoom(n, pending, HAND_OVER));
     }
 
-    /** Past the caches, where none is fit and it is allowed: to the parent, else to the origin. */
+    /** Past the caches, where none is fit and warm and it is allowed: to the parent, else to the origin. */
     private Choice straight(Pending pending) {
-        Node parent = settings.allowed().straight() ? parentFor(pending, false) : null;
-        return parent == null ? null : new Choice(parent, origin == null ? parent : origin, 0, false);
+        Node parent = settings.allowed().straight() ? parentFor(pending, !pending.kind.goesThrough()) : null;
+        return parent == null ? null : new Choice(parent, origin == null ? parent : origin, 0, false, false);
     }
 
     /** Requests that run at the origin go there straight where allowed, else with it as source. */
     private Choice chooseForWrite(Pending pending) {
         boolean up = origin != null && usable(origin, pending);
         if (settings.allowed().straight()) {
-            return up ? new Choice(origin, null, 0, false) : straight(pending);
+            return up ? new Choice(origin, null, 0, false, false) : straight(pending);
         }
         Node cache = cacheAt(0, pending);
         Node source = up ? origin : parentFor(pending, false);
-        return cache == null || source == null ? null : new Choice(cache, source, 0, false);
+        return cache == null || source == null ? null : new Choice(cache, source, 0, false, false);
     }
 
     private void send(Pending pending, Choice choice, long left) {
@@ -398,7 +392,7 @@
         Purged purged = purgeOf(request);
         boolean join = settings.allowed().joins() && purged == null;
         out.accept(new SendVia(request.id(), target.id, left, choice.source.id, choice.rank,
-                maxAge(pending, purged), join, choice.source.role == Role.PARENT && spareOrigin(), false,
+                maxAge(pending, purged), join, choice.sparing, false,
                 pending.kind.freshUs() > 0));
     }
 
@@ -426,6 +420,7 @@
             return; // its other copy may still be answered
         }
         if (outcome.note() == Note.SOURCE_LACKS && parents.members.contains(attempt.choice.source)
+                || outcome.result() == Result.MISS && attempt.choice.source == attempt.choice.target
                 || pending.erred.size() > 1) {
             end(pending);
         } else if (pending.sent > 1 || outcome.note() == Note.ORIGIN_FAILED) {
@@ -497,10 +492,9 @@
 
     /** The final answer: a refusal where that is allowed, else a failure. */
     private void end(Pending pending) {
-        String id = pending.request.id();
         over(pending);
-        out.accept(!mayRefuse(pending) ? new Fail(id)
-                : new Refuse(id, Math.min(PAUSE_US, settings.allowed().maxRetryAfterUs())));
+        out.accept(!mayRefuse(pending) ? new Fail(pending.request.id())
+                : new Refuse(pending.request.id(), Math.min(PAUSE_US, settings.allowed().maxRetryAfterUs())));
     }
 
     // ---- Beliefs: copies, health, pace ----------------------------------------------------------
@@ -537,8 +531,11 @@
     }
 
     private void believe(Pending pending, Node cache, boolean holds) {
-        parts.computeIfAbsent(new PartKey(pending.request), key -> new Copies())
-                .heldSince.put(cache, holds ? now : NEVER);
+        copiesOf(pending.request).heldSince.put(cache, holds ? now : NEVER);
+    }
+
+    private Copies copiesOf(Request request) {
+        return parts.computeIfAbsent(new PartKey(request.object(), request.part()), key -> new Copies());
     }
 
     private void learn(Pending pending, Attempt attempt, Outcome outcome) {
@@ -548,8 +545,10 @@
             believe(pending, cache, outcome.result() == Result.OK);
         }
         if (cache == origin || outcome.note() == Note.ORIGIN_ASKED || outcome.note() == Note.ORIGIN_FAILED
-                || choice.source == origin && outcome.note() == Note.SOURCE_REFUSED) {
-            originInVain += NEWS * ((outcome.result() == Result.OK ? 0 : 1) - originInVain);
+                || choice.source == origin && outcome.note() == Note.SOURCE_REFUSED
+                || choice.filler() != null && !choice.sparing && outcome.result() == Result.TIMED_OUT) {
+            boolean inTime = outcome.result() == Result.OK && outcome.elapsedUs() <= pending.aimUs;
+            originInVain += NEWS * ((inTime ? 0 : 1) - originInVain);
             originUs = now;
         }
         switch (outcome.result()) {
@@ -559,7 +558,7 @@
                     default -> settings.telling() == Telling.NONE && !choice.believed;
                 };
                 served(cache, pending);
-                if (!filled || choice.filler() != null) {
+                if (!filled || choice.filler() != null && outcome.note() == Note.FILLED) {
                     paced(attempt, filled, outcome.elapsedUs());
                 }
                 if (filled && choice.filler() != null) {
@@ -582,12 +581,15 @@
 
     /**
      * Learns how many transfers a member can hold at full pace, from how much an answer was stretched and how
-     * many shared it: a slow or cold cache, a full link and a crowded hub all show in it.
+     * many shared it: a slow or cold cache, a full link and a crowded hub all show in it. What is known to be
+     * the hub's doing tells nothing of the link.
      */
     private void paced(Attempt attempt, boolean filled, long elapsedUs) {
         double stretch = Math.max(1, (double) elapsedUs / attempt.pending.workUs);
-        for (int i = filled ? 1 : 0; tellsPace(attempt.pending) && i < (filled ? 3 : 1); i++) {
-            Node node = i == 0 ? attempt.choice.target : i == 1 ? attempt.choice.source : link;
+        Node source = attempt.choice.source;
+        boolean known = filled && attempt.loads[1] + 1 >= Math.max(STRETCHED, stretch) * room(source);
+        for (int i = filled ? 1 : 0; tellsPace(attempt.pending) && i < (!filled ? 1 : known ? 2 : 3); i++) {
+            Node node = i == 0 ? attempt.choice.target : i == 1 ? source : link;
             double shown = ((attempt.loads[i] + load(node)) / 2 + 1) / stretch;
             if (node.room == 0 && stretch > STRETCHED) {
                 node.room = shown;
@@ -643,8 +645,8 @@
 
     /**
      * Whether a fill is to take only what its parent holds, by chance: the more of what was asked of the
-     * origin of late was in vain, the more often. Guards the origin against being asked over and over by all
-     * while it turns work away or has stopped, for whatever reason; could harm where single parents fail.
+     * origin of late was in vain or late, the more often. Guards the origin against being asked over and over
+     * by all while it is slow, turns work away or has stopped; could harm where single parents fail.
      */
     private boolean spareOrigin() {
         return random.nextDouble() < originInVain * Math.exp(-(now - originUs) / SPAN_US);
@@ -674,8 +676,8 @@
     }
 
     /**
-     * An error speaks against a member once another has served the same request; where two err, the request
-     * is at fault. Guards the ring against clients that ask for what no cache can make anything of.
+     * An error speaks against a member once another has served the request; where two err, the request is at
+     * fault. Guards the ring against clients that ask for what no cache can make anything of.
      */
     private void blame(Node cache, Attempt attempt, Result result) {
         switch (result) {
@@ -849,7 +851,7 @@
     /** A member as this director knows it. */
     private static final class Node {
         final String id;
-        Role role;
+        Role role = Role.CACHE;
         int zone;
         int cell;
         double weight;
--- /dev/null
+++ b/src/test/java/clovermill/FleetTest.java
@@ -0,0 +1,148 @@
+package clovermill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clovermill.CacheRouter.Action;
+import clovermill.CacheRouter.Availability;
+import clovermill.CacheRouter.ListScope;
+import clovermill.CacheRouter.Member;
+import clovermill.CacheRouter.Members;
+import clovermill.CacheRouter.Note;
+import clovermill.CacheRouter.Outcome;
+import clovermill.CacheRouter.Refuse;
+import clovermill.CacheRouter.Result;
+import clovermill.CacheRouter.SendVia;
+import clovermill.CacheRouter.Telling;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What is fine alone and hurts when many directors do it, or is learned too late from few requests. */
+class FleetTest {
+
+    private static Director crowded(int crew) {
+        Director director = new Director(Director.settings(true, Telling.ALL, crew), 7);
+        director.tell(Director.fleet(4));
+        return director;
+    }
+
+    /** Sends a large part and reports how its fill went; null if the director refused it. */
+    private static SendVia fill(Director director, long object, Note note, long elapsedUs) {
+        if (!(director.tell(director.bigRequest(object)).get(0) instanceof SendVia sent)) {
+            return null;
+        }
+        director.answer(sent, 0, Result.OK, note, elapsedUs);
+        return sent;
+    }
+
+    private static boolean asksForHeld(SendVia sent) {
+        return sent.source().equals(sent.member());
+    }
+
+    /** A director that has seen nothing but late fills from hubs: no fill would come in time. */
+    private static Director withJammedHubs() {
+        Director director = crowded(5);
+        for (int i = 0; i < 40; i++) {
+            fill(director, i, Note.FILLED, 4_000_000);
+        }
+        return director;
+    }
+
+    private static SendVia firstAskForHeld(Director director) {
+        for (int i = 1000; i < 1200; i++) {
+            if (director.tell(director.bigRequest(i)).get(0) instanceof SendVia sent && asksForHeld(sent)) {
+                return sent;
+            }
+        }
+        throw new AssertionError("nothing was asked of a cache without a fill");
+    }
+
+    @Test
+    void whereNoFillComesInTimeACacheIsAskedForWhatItHolds() {
+        Director director = withJammedHubs();
+        SendVia sent = firstAskForHeld(director);
+        assertTrue(sent.member().startsWith("cache-"));
+        assertEquals(List.of(), director.answer(sent, 0, Result.OK, Note.HIT, 500_000), "served");
+    }
+
+    @Test
+    void aCacheThatHoldsNothingThenEndsTheRequestAtOnce() {
+        Director director = withJammedHubs();
+        SendVia sent = firstAskForHeld(director);
+        List<Action> next = director.answer(sent, 0, Result.MISS, Note.NONE, 2_000);
+        assertEquals(1, next.size());
+        assertInstanceOf(Refuse.class, next.get(0));
+    }
+
+    @Test
+    void aSlowOriginIsSparedAndNotTakenForCrowdedHubs() {
+        Director director = crowded(5);
+        int held = 0;
+        for (int i = 0; i < 60; i++) {
+            SendVia sent = (SendVia) director.tell(director.bigRequest(i)).get(0);
+            assertTrue(!asksForHeld(sent), "the hubs have room");
+            if (sent.heldOnly()) {
+                held++;
+                director.answer(sent, 0, Result.OK, Note.FILLED, 520_000);
+            } else {
+                director.now += 100_000;
+                for (int j = 1000; j < 1012; j++) {
+                    fill(director, 100 * j + i, Note.FILLED, 520_000); // what the hubs hold comes as ever
+                }
+                director.tell(new Outcome(sent.request(), 0, sent.member(), Result.OK, 6_340_000, true,
+                        Note.ORIGIN_ASKED, 0, null));
+            }
+        }
+        assertTrue(held > 5 && held < 58, held + " of 60 asked only for what a hub holds");
+    }
+
+    @Test
+    void aHubThatAnswersNothingIsNoticedThoughAnotherAnswers() {
+        Director director = crowded(5);
+        List<SendVia> toSlow = new ArrayList<>();
+        for (int i = 0; i < 300 && toSlow.size() < 12; i++) {
+            SendVia sent = (SendVia) director.tell(director.bigRequest(i)).get(0);
+            if (sent.source().equals("parent-0")) {
+                toSlow.add(sent);
+                director.now += 100_000;
+            } else {
+                director.answer(sent, 0, Result.OK, Note.FILLED, 520_000);
+            }
+        }
+        int later = 0;
+        for (int i = 1000; i < 1040; i++) {
+            if (director.tell(director.bigRequest(i)).get(0) instanceof SendVia sent) {
+                later += sent.source().equals("parent-0") ? 1 : 0;
+                if (!sent.source().equals("parent-0")) {
+                    director.answer(sent, 0, Result.OK, Note.FILLED, 520_000);
+                }
+            }
+        }
+        assertTrue(later < 8, later + " of 40 still went to the hub that answers nothing");
+    }
+
+    @Test
+    void whereAllCachesAreColdARequestGoesStraightToAHub() {
+        Director director = crowded(3);
+        for (int i = 0; i < 30; i++) {
+            fill(director, i, Note.FILLED, 520_000);
+        }
+        List<Member> cold = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            cold.add(Director.with(Director.cache(i), Availability.HEALTHY, director.now));
+        }
+        director.tell(new Members(ListScope.CHANGES, cold));
+        int straight = 0;
+        for (int i = 100; i < 130; i++) {
+            if (director.tell(director.bigRequest(i)).get(0) instanceof SendVia sent
+                    && sent.member().startsWith("parent-")) {
+                straight++;
+                director.answer(sent, 0, Result.OK, Note.HIT, 510_000);
+            }
+            director.now += 10_000;
+        }
+        assertTrue(straight > 5, straight + " went straight to a hub while the caches are cold");
+    }
+}
