--- a/src/main/java/clovermill/channel/Commands.java
+++ b/src/main/java/clovermill/channel/Commands.java
@@ -29,49 +29,90 @@
     /** A purge of an object, or with a null {@code object} of a group, made at a Unix millisecond. */
     public record Drop(long cursor, Long object, int group, long whenMs) implements Command { }
 
-    /** Stands for a zone or kind that the settings do not name. */
-    private static final int UNKNOWN = -2;
+    /** An event, or one entry of a list, that cannot be used; what else came with it can. */
+    public record Unusable(long cursor, String reason) implements Command { }
 
     /** Without the events up to a number: whoever resends them, none is taken twice. */
     public Commands after(long read) {
         return new Commands(cursor, list.stream().filter(command -> command.cursor() > read).toList());
     }
 
-    /** Reads {@code {"cursor":N,"cmds":[...]}}. */
+    /**
+     * Reads {@code {"cursor":N,"cmds":[...]}}. What is wrong within an event is an {@link Unusable} in its place:
+     * asked for again it would be as wrong, and all that follows, drains and purges too, would never be heard.
+     *
+     * @throws Json.Malformed if not even the numbers of the events can be read
+     */
     public static Commands read(Object json, List<String> zones, List<String> kinds) throws Json.Malformed {
         Map<?, ?> root = Json.object(json);
         List<Command> list = new ArrayList<>();
         for (Object item : Json.list(root, "cmds")) {
             Map<?, ?> command = Json.object(item);
             long number = (long) Json.number(command, "cursor");
-            if (command.get("nodes") != null) {
-                list.add(nodes(number, Json.object(command, "nodes"), zones, kinds));
-            } else if (command.get("drop") != null) {
-                list.add(drop(number, Json.object(command, "drop")));
+            try {
+                if (command.get("nodes") != null) {
+                    nodes(number, Json.object(command, "nodes"), zones, kinds, list);
+                } else if (command.get("drop") != null) {
+                    list.add(drop(number, Json.object(command, "drop")));
+                }
+            } catch (Json.Malformed malformed) {
+                list.add(new Unusable(number, malformed.getMessage()));
             }
             // Events of other kinds may come with later versions; they count as read.
         }
         return new Commands((long) Json.number(root, "cursor"), list);
     }
 
-    private static Command nodes(long number, Map<?, ?> nodes, List<String> zones, List<String> kinds)
+    /** These events, as a configuration must bring them: all usable, or it is a bad configuration. */
+    public Commands whole() throws Json.Malformed {
+        for (Command command : list) {
+            if (command instanceof Unusable unusable) {
+                throw new Json.Malformed("known: event " + unusable.cursor() + ": " + unusable.reason());
+            }
+        }
+        return this;
+    }
+
+    /**
+     * Adds a list of members. Where an entry of a whole list cannot be used, or it names nobody, it counts as
+     * changes: nobody is taken for gone on the word of a list that is not whole.
+     */
+    private static void nodes(long number, Map<?, ?> nodes, List<String> zones, List<String> kinds, List<Command> list)
             throws Json.Malformed {
         List<Entry> entries = new ArrayList<>();
+        boolean full = Boolean.TRUE.equals(nodes.get("full"));
+        boolean whole = true;
         for (Object item : Json.list(nodes, "servers")) {
-            Map<?, ?> server = Json.object(item);
+            try {
+                entries.add(entry(Json.object(item), zones, kinds));
+            } catch (Json.Malformed malformed) {
+                list.add(new Unusable(number, malformed.getMessage()));
+                whole = false;
+            }
+        }
+        if (full && entries.isEmpty()) {
+            list.add(new Unusable(number, "nodes.servers: a whole list that names nobody"));
+            whole = false;
+        }
+        list.add(new Nodes(number, full && whole, entries));
+    }
+
+    private static Entry entry(Map<?, ?> server, List<String> zones, List<String> kinds) throws Json.Malformed {
+        String id = Json.string(server, "id");
+        try {
             Availability availability = switch (Json.string(server, "state")) {
                 case "ready" -> Availability.HEALTHY;
                 case "draining" -> Availability.DRAINING;
                 case "gone" -> Availability.GONE;
-                default -> throw new Json.Malformed("an unknown state of a member");
+                default -> throw new Json.Malformed("state: unknown");
             };
             long started = server.get("started_ms") == null ? 0 : (long) Json.number(server, "started_ms");
-            entries.add(new Entry(new Member(Json.string(server, "id"),
-                    place(zones, Json.string(server, "zone")), place(kinds, Json.string(server, "kind")),
+            return new Entry(new Member(id, place(zones, server, "zone"), place(kinds, server, "kind"),
                     (int) Json.number(server, "cell"), availability, Json.number(server, "weight"), 0),
-                    Config.address(Json.string(server, "addr")), started));
+                    Config.address(Json.string(server, "addr")), started);
+        } catch (Json.Malformed malformed) {
+            throw new Json.Malformed("member " + id + ": " + malformed.getMessage());
         }
-        return new Nodes(number, Boolean.TRUE.equals(nodes.get("full")), entries);
     }
 
     private static Command drop(long number, Map<?, ?> drop) throws Json.Malformed {
@@ -87,8 +128,11 @@
         }
     }
 
-    private static int place(List<String> names, String name) {
-        int place = names.indexOf(name);
-        return place < 0 ? UNKNOWN : place;
+    private static int place(List<String> names, Map<?, ?> server, String field) throws Json.Malformed {
+        String name = Json.string(server, field);
+        if (!names.contains(name)) {
+            throw new Json.Malformed(field + ": the settings name no " + name);
+        }
+        return names.indexOf(name);
     }
 }
--- a/src/main/java/clovermill/channel/Roster.java
+++ b/src/main/java/clovermill/channel/Roster.java
@@ -9,6 +9,8 @@
 import clovermill.channel.Commands.Entry;
 import clovermill.host.Host;
 import clovermill.net.Clock;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -17,6 +19,8 @@
 /** Takes the events of the command channel and tells the module and the pool of connections. */
 public final class Roster {
 
+    private static final Logger LOG = System.getLogger(Roster.class.getName());
+
     private final Map<String, Entry> listed = new LinkedHashMap<>();
     private final Clock clock;
     private final CachePool pool;
@@ -53,10 +57,17 @@
                 drop(unfit);
             } else if (command instanceof Commands.Drop drop) {
                 purge(drop);
+            } else if (command instanceof Commands.Unusable unusable) {
+                tell(unusable);
             }
         }
     }
 
+    private static void tell(Commands.Unusable unusable) {
+        LOG.log(Level.WARNING, "event {0} of the command channel cannot be used: {1}",
+                Long.toString(unusable.cursor()), unusable.reason());
+    }
+
     /** Whether there is anybody to send to. */
     public boolean known() {
         return !listed.isEmpty();
