A start, too, passes over members and events that it cannot use

Cause, found on reading the change again: since `Commands.whole` a director refused to start over one member of an unknown zone or kind in `known`, or an empty whole list, which it took before; a fleet that restarts then would not come back. Change: what is known at the start is read like later events, each fault one line in the log; `whole` goes.

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -50,7 +50,7 @@
     Assembly(Config config, Path file, Clock clock, long settleUs, LedgerSettings kept) throws IOException,
             Json.Malformed {
         CacheRouter.Settings settings = config.settings();
-        Commands known = Commands.read(config.known(), config.zones(), config.kinds()).whole();
+        Commands known = Commands.read(config.known(), config.zones(), config.kinds());
         Deadlines deadlines = new Deadlines();
         Budget budget = new Budget(Runtime.getRuntime().maxMemory() / BODIES_PART);
         loop = new EventLoop(clock, deadlines);
--- a/src/main/java/clovermill/channel/Commands.java
+++ b/src/main/java/clovermill/channel/Commands.java
@@ -63,16 +63,6 @@
         return new Commands((long) Json.number(root, "cursor"), list);
     }
 
-    /** These events, as a configuration must bring them: all usable, or it is a bad configuration. */
-    public Commands whole() throws Json.Malformed {
-        for (Command command : list) {
-            if (command instanceof Unusable unusable) {
-                throw new Json.Malformed("known: event " + unusable.cursor() + ": " + unusable.reason());
-            }
-        }
-        return this;
-    }
-
     /**
      * Adds a list of members. Where an entry of a whole list cannot be used, or it names nobody, it counts as
      * changes: nobody is taken for gone on the word of a list that is not whole.
--- a/src/main/java/clovermill/channel/Roster.java
+++ b/src/main/java/clovermill/channel/Roster.java
@@ -37,6 +37,8 @@
         for (Commands.Command command : known.list()) {
             if (command instanceof Commands.Nodes nodes) {
                 update(nodes);
+            } else if (command instanceof Commands.Unusable unusable) {
+                tell(unusable);
             }
         }
         host.tell(new Members(ListScope.REMEMBERED, listed.values().stream().map(this::member).toList()));
