Operators call at admin, and the next process takes over the clients' listening socket

Cause: Assembly bound the configuration's listen in every process, and nothing listened at admin. Change: admin (HTTP/1.1 on the loop, one call per connection), outage (which caches are out; they count as draining whatever the list says, and as started when they come back), upgrade (the socket of descriptor 0). The processes of one director mark outages in TMPDIR, a file each, before a call is answered. A process takes nobody before it can serve, and none after SIGTERM; it stays until its clients have left. The channel is never closed: closing an inherited one points the log at nothing.

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -1,5 +1,7 @@
 package clovermill;
 
+import clovermill.admin.AdminFront;
+import clovermill.admin.decide.Desk;
 import clovermill.cache.CachePool;
 import clovermill.channel.CommandChannel;
 import clovermill.channel.Commands;
@@ -14,6 +16,8 @@
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
+import clovermill.outage.OutageFolder;
+import clovermill.outage.Outages;
 import clovermill.reload.Reloader;
 import clovermill.store.Volume;
 import java.io.IOException;
@@ -39,6 +43,7 @@
 
     private final CommandChannel channel;
     private final FrameFront front;
+    private final AdminFront admin;
     private final Departure departure;
     private final Reloader reloader;
     private final Ledger ledger;
@@ -47,8 +52,8 @@
      * Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. Later
      * configurations come from {@code file}; {@code kept} is null where no ledger is kept.
      */
-    Assembly(Config config, Path file, Clock clock, long settleUs, LedgerSettings kept) throws IOException,
-            Json.Malformed {
+    Assembly(Config config, Path file, Clock clock, long settleUs, LedgerSettings kept, Platform platform)
+            throws IOException, Json.Malformed {
         CacheRouter.Settings settings = config.settings();
         Commands known = Commands.read(config.known(), config.zones(), config.kinds());
         Deadlines deadlines = new Deadlines();
@@ -62,17 +67,25 @@
                 settings.parentKind(), settings.originKind(), settings.allowed().maxOpen()), clock, deadlines,
                 loop::post, Volume.local());
         Host host = new Host(new Policy(settings, config.seed()), settings, clock, deadlines, pool, ledger);
-        Roster roster = new Roster(clock, pool, host);
+        Roster roster = new Roster(clock, pool, host, new Outages(), settings.originKind());
         roster.start(known);
         channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
                 config.zones(), config.kinds(), settings.dialTimeoutUs()), known.cursor(), roster::apply);
         channel.start();
         long settledUs = clock.micros() + settleUs;
         front = new FrameFront(loop, clock, deadlines, budget, host, settings, config.classes(),
-                new FrameFront.Terms(config.listen(), config.sockets() / CLIENTS_PART,
+                new FrameFront.Terms(config.listen(), platform.passed(), config.sockets() / CLIENTS_PART,
                 () -> roster.known() && clock.micros() >= settledUs));
+        Operations operations = new Operations(roster, front, clock, deadlines,
+                platform.shared() == null ? null : new OutageFolder(platform.shared()));
+        operations.look();
+        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(operations));
+        if (admin != null) {
+            admin.open(platform.admin());
+        }
         front.open();
-        departure = new Departure(loop, clock, deadlines, front);
+        departure = new Departure(loop, clock, deadlines, front, platform.passed() == null ? 0
+                : settings.classes().stream().mapToLong(CacheRouter.RequestClass::deadlineUs).max().orElse(0));
         // What a new configuration may change while requests are in flight: the command channel's address.
         reloader = new Reloader(file, clock, deadlines, changed -> channel.move(changed.channel()));
     }
@@ -86,6 +99,11 @@
         return front.port();
     }
 
+    /** The port on which operators call. */
+    int adminPort() {
+        return admin.port();
+    }
+
     /** Takes new configurations in. */
     Reloader reloader() {
         return reloader;
--- a/src/main/java/clovermill/Departure.java
+++ b/src/main/java/clovermill/Departure.java
@@ -7,20 +7,31 @@
 
 /**
  * A planned restart: clients are told to go, what they still send for a while is served like all else, and
- * the process ends when every request it has taken is answered.
+ * the process ends when every request it has taken is answered. One that hands over to another process also
+ * waits a while for its clients to close their connections.
  */
 final class Departure {
 
     /** Connections still arrive for up to 0.4 s after the signal, and requests on them for 0.2 s more. */
     private static final long LINGER_US = 700_000;
     private static final long CHECK_US = 10_000;
+    /**
+     * How long a process that hands over waits for its clients to go by themselves: closing on one that just
+     * writes costs the request. The platform kills no sooner than the longest deadline, or 3 s, and 0.7 s more.
+     */
+    private static final long MOST_PATIENCE_US = 3_000_000;
+    private static final long BEYOND_US = 300_000;
 
     private final EventLoop loop;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Front front;
+    private final long patienceUs;
+    private long patientUntilUs;
 
-    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front) {
+    /** {@code longestUs} is the longest deadline of a request where another process takes over, else 0. */
+    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, long longestUs) {
+        this.patienceUs = longestUs == 0 ? 0 : Math.min(longestUs, MOST_PATIENCE_US) + BEYOND_US;
         this.loop = loop;
         this.clock = clock;
         this.deadlines = deadlines;
@@ -29,6 +40,7 @@
 
     void begin() {
         front.leave();
+        patientUntilUs = clock.micros() + patienceUs;
         deadlines.add(clock.micros() + LINGER_US, this::shut);
     }
 
@@ -38,7 +50,7 @@
     }
 
     private void endWhenQuiet() {
-        if (front.quiet()) {
+        if (front.quiet() && (front.empty() || clock.micros() >= patientUntilUs)) {
             loop.stop();
         } else {
             deadlines.add(clock.micros() + CHECK_US, this::endWhenQuiet);
--- a/src/main/java/clovermill/Rehearsal.java
+++ b/src/main/java/clovermill/Rehearsal.java
@@ -42,7 +42,8 @@
         try (Peers peers = new Peers(clock)) {
             String text = Files.readString(Path.of(file)).replaceAll("\"(addr|channel)\":\"[^\"]*\"",
                     "\"$1\":\"" + peers.address() + "\"");
-            Assembly director = new Assembly(Config.read(text, "127.0.0.1:0"), Path.of(file), clock, 0, null);
+            Config config = Config.read(text, "127.0.0.1:0");
+            Assembly director = new Assembly(config, Path.of(file), clock, 0, null, Platform.plain(config));
             Rehearsal rehearsal = new Rehearsal(director);
             InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), director.port());
             director.loop().connect(front, rehearsal.new Client()::over);
--- a/src/main/java/clovermill/Service.java
+++ b/src/main/java/clovermill/Service.java
@@ -52,7 +52,8 @@
         Assembly director;
         try {
             Config config = Config.load(file, System.getenv("BALANCER_LISTEN"));
-            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger);
+            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger,
+                    Platform.read(System.getenv(), config));
             run(director, config);
         } catch (Json.Malformed bad) {
             throw new BadStart("the configuration: " + bad.getMessage());
--- /dev/null
+++ b/src/main/java/clovermill/admin/AdminFront.java
@@ -0,0 +1,127 @@
+package clovermill.admin;
+
+import clovermill.admin.decide.Call;
+import clovermill.admin.decide.Desk;
+import clovermill.admin.decide.Reply;
+import clovermill.net.Clock;
+import clovermill.net.Connection;
+import clovermill.net.Deadlines;
+import clovermill.net.EventLoop;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Listens where operators call, reads each connection's one call and writes its answer. */
+public final class AdminFront {
+
+    private static final System.Logger LOG = System.getLogger(AdminFront.class.getName());
+    /** A call takes some milliseconds; one that is not whole by then is told so and let go. */
+    private static final long PATIENCE_US = 4_000_000;
+    /** So many callers may be connected; for a further one the caller that has been silent longest gives way. */
+    private static final int MOST_CALLERS = 16;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Desk desk;
+    private final Set<Caller> callers = new LinkedHashSet<>();
+    private EventLoop.Listener listener;
+
+    public AdminFront(EventLoop loop, Clock clock, Deadlines deadlines, Desk desk) {
+        this.loop = loop;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.desk = desk;
+    }
+
+    /** Takes calls from now on, until the process ends. */
+    public void open(InetSocketAddress address) throws IOException {
+        listener = loop.listen(address, MOST_CALLERS, this::makeRoom, Caller::new);
+    }
+
+    /** The port that was bound. */
+    public int port() {
+        return listener.port();
+    }
+
+    private void makeRoom() {
+        callers.iterator().next().connection.close();
+    }
+
+    /** One connection, and the one call that comes on it. */
+    private final class Caller implements Connection.Handler {
+        private final Connection connection;
+        private final CallParser parser = new CallParser();
+        private final Deadlines.Deadline patience;
+        private boolean answered;
+
+        Caller(Connection connection) {
+            this.connection = connection;
+            this.patience = deadlines.add(clock.micros() + PATIENCE_US, this::overdue);
+            callers.add(this);
+        }
+
+        @Override
+        public void received(ByteBuffer data) {
+            if (answered) {
+                data.position(data.limit());
+                return;
+            }
+            try {
+                Call call = parser.parse(data);
+                if (call != null) {
+                    Reply reply = desk.answer(call);
+                    LOG.log(call.method().equals("GET") ? Level.DEBUG : Level.INFO, "operators call {0} {1} {2}: {3}",
+                            call.method(), call.path(), call.body().replaceAll("\\p{Cntrl}", " "), reply.reason());
+                    answer(reply);
+                } else if (parser.waitsToSend()) {
+                    say("HTTP/1.1 100 Continue\r\n\r\n");
+                }
+            } catch (CallParser.BadCall bad) {
+                answer(new Reply(bad.status(), bad.getMessage()));
+            }
+            data.position(data.limit());
+        }
+
+        private void answer(Reply reply) {
+            answered = true;
+            String body = reply.reason() + "\n";
+            say("HTTP/1.1 " + reply.status() + " " + (reply.status() < 300 ? "OK" : "No")
+                    + (reply.allow() == null ? "" : "\r\nAllow: " + reply.allow())
+                    + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "
+                    + body.getBytes(StandardCharsets.UTF_8).length + "\r\nConnection: close\r\n\r\n" + body);
+            connection.closeWhenFlushed();
+        }
+
+        private void say(String text) {
+            connection.send(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        /** A caller that completes no call, or does not read its answer. */
+        private void overdue() {
+            if (answered) {
+                connection.close();
+            } else {
+                answer(new Reply(408, "the call was not whole in time"));
+            }
+        }
+
+        /** A caller may close its side as soon as it has written its call. */
+        @Override
+        public void ended() {
+            if (!answered) {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void closed(IOException cause) {
+            deadlines.cancel(patience);
+            callers.remove(this);
+        }
+    }
+}
--- a/src/main/java/clovermill/channel/Roster.java
+++ b/src/main/java/clovermill/channel/Roster.java
@@ -9,10 +9,12 @@
 import clovermill.channel.Commands.Entry;
 import clovermill.host.Host;
 import clovermill.net.Clock;
+import clovermill.outage.Outages;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -20,16 +22,71 @@
 public final class Roster {
 
     private static final Logger LOG = System.getLogger(Roster.class.getName());
+    private static final int MOST_KNOWN = 1000;
 
     private final Map<String, Entry> listed = new LinkedHashMap<>();
     private final Clock clock;
     private final CachePool pool;
     private final Host host;
+    private final Outages outages;
+    private final int originKind;
+    /** Caches that were listed at some time: one that is gone just now may still be taken out or put back. */
+    private final Map<String, Boolean> caches = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
 
-    public Roster(Clock clock, CachePool pool, Host host) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_KNOWN;
+        }
+    };
+
+    /** {@code originKind} is the kind of the origin, which is no cache; caches that are out count as draining. */
+    public Roster(Clock clock, CachePool pool, Host host, Outages outages, int originKind) {
         this.clock = clock;
         this.pool = pool;
         this.host = host;
+        this.outages = outages;
+        this.originKind = originKind;
+    }
+
+    /** Whether a cache of that id was ever told of. */
+    public boolean knows(String id) {
+        return caches.containsKey(id);
+    }
+
+    /** From now on nothing more goes to that cache or is filled from it, until it is put back. */
+    public void takeOut(String id) {
+        if (outages.takeOut(id)) {
+            changed(id);
+            drop(Set.of(id));
+        }
+    }
+
+    /** The cache counts as the list tells again, and as started now: it was restarted meanwhile. */
+    public void putBack(String id) {
+        if (outages.putBack(id, clock.unixMillis())) {
+            changed(id);
+        }
+    }
+
+    /** Takes over what another process of this director was told: who is out, and since when others are back. */
+    public void outages(Set<String> out, Map<String, Long> back) {
+        for (String id : out) {
+            takeOut(id);
+        }
+        for (String id : outages.allOut()) {
+            if (!out.contains(id)) {
+                putBack(id);
+            }
+        }
+        back.forEach(outages::returned);
+    }
+
+    private void changed(String id) {
+        Entry entry = listed.get(id);
+        if (entry != null) {
+            host.tell(new Members(ListScope.CHANGES, List.of(member(entry))));
+        }
     }
 
     /** Takes what was known at the start: one list, as remembered, and then the purges. */
@@ -84,7 +141,10 @@
         }
         for (Entry entry : nodes.entries()) {
             String id = entry.member().id();
-            if (entry.member().availability() == Availability.HEALTHY) {
+            if (entry.member().kind() != originKind) {
+                caches.put(id, true);
+            }
+            if (counted(entry) == Availability.HEALTHY) {
                 unfit.remove(id);
             } else {
                 unfit.add(id);
@@ -114,13 +174,18 @@
         }
     }
 
+    private Availability counted(Entry entry) {
+        return outages.counted(entry.member().id(), entry.member().availability());
+    }
+
     /** The member on the module's clock, on which 0 means that it started long ago. */
     private Member member(Entry entry) {
         Member known = entry.member();
-        long startedUs = entry.startedMs() <= 0 ? 0
-                : Math.max(1, clock.micros() - (clock.unixMillis() - entry.startedMs()) * 1000);
-        return new Member(known.id(), known.zone(), known.kind(), known.cell(), known.availability(),
-                known.weight(), startedUs);
+        long startedMs = outages.startedMs(known.id(), entry.startedMs());
+        long startedUs = startedMs <= 0 ? 0
+                : Math.max(1, clock.micros() - (clock.unixMillis() - startedMs) * 1000);
+        return new Member(known.id(), known.zone(), known.kind(), known.cell(), counted(entry), known.weight(),
+                startedUs);
     }
 
     private void purge(Commands.Drop drop) {
--- a/src/main/java/clovermill/config/Config.java
+++ b/src/main/java/clovermill/config/Config.java
@@ -14,11 +14,12 @@
 
 /**
  * What a director is told at its start. {@code known} holds the command channel's events so far in its own
- * form, {@code settings} what the module sees, and the lists the names of classes, zones and kinds.
+ * form, {@code admin} is null where operators call nowhere, {@code settings} what the module sees, and the lists the
+ * names of classes, zones and kinds.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress channel, long seed, int sockets,
-        Object known, Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-        int streamsPerConnection, long connectionIdleUs) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress channel,
+        long seed, int sockets, Object known, Settings settings, List<String> classes, List<String> zones,
+        List<String> kinds, int streamsPerConnection, long connectionIdleUs) {
 
     private static final long DEFAULT_IDLE_US = 30_000_000;
 
@@ -47,6 +48,7 @@
         }
         return new Config(Json.string(root, "name"),
                 address(listen != null ? listen : Json.string(root, "listen")),
+                root.get("admin") == null ? null : address(Json.string(root, "admin")),
                 address(Json.string(root, "channel")), seed(Json.string(root, "seed")),
                 (int) Json.number(Json.object(root, "limits"), "sockets"), Json.object(root, "known"), read, classes,
                 names(settings, "zones"), names(settings, "kinds"),
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -8,7 +8,9 @@
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -17,12 +19,18 @@
 /** The front that speaks binary frames. */
 public final class FrameFront implements Front {
 
-    /** Where this front listens, how many connections it takes, and whether the director can serve. */
-    public record Terms(InetSocketAddress address, int connections, BooleanSupplier able) { }
+    /**
+     * Where this front listens, how many connections it takes, and whether the director can serve. A listening
+     * socket that was {@code passed} in, or null, is used in place of the address.
+     */
+    public record Terms(InetSocketAddress address, ServerSocketChannel passed, int connections,
+            BooleanSupplier able) { }
 
     /** Kept back from a client's wait for the way there and back, and for a busy core. */
     private static final long MARGIN_US = 20_000;
     private static final long SWEEP_US = 250_000;
+    /** How soon a director that shares its listening socket sees that it can serve. */
+    private static final long LOOK_US = 10_000;
 
     private final EventLoop loop;
     private final Host host;
@@ -50,11 +58,32 @@
 
     @Override
     public void open() throws IOException {
-        listener = loop.listen(terms.address(), terms.connections(), () -> idle.makeRoom(clock.micros()),
-                this::accepted);
+        if (terms.passed() == null) {
+            listener = loop.listen(terms.address(), terms.connections(), () -> idle.makeRoom(clock.micros()),
+                    this::accepted);
+        } else {
+            openWhenAble();
+        }
         sweep();
     }
 
+    /** What a director accepts before it can serve, another process on the same socket would have served. */
+    private void openWhenAble() {
+        if (leaving) {
+            return;
+        }
+        if (!terms.able().getAsBoolean()) {
+            deadlines.add(clock.micros() + LOOK_US, this::openWhenAble);
+            return;
+        }
+        try {
+            listener = loop.listenOn(terms.passed(), terms.connections(), () -> idle.makeRoom(clock.micros()),
+                    this::accepted);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     private void sweep() {
         idle.sweep(clock.micros());
         deadlines.add(clock.micros() + SWEEP_US, this::sweep);
@@ -75,7 +104,8 @@
         return accepted;
     }
 
-    private boolean ready() {
+    @Override
+    public boolean ready() {
         return listener != null && !leaving && terms.able().getAsBoolean();
     }
 
@@ -87,12 +117,22 @@
     @Override
     public void leave() {
         leaving = true;
+        if (terms.passed() != null) {
+            shut();
+        }
         connections.forEach(FrameConnection::leave);
     }
 
     @Override
     public void shut() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    @Override
+    public boolean empty() {
+        return connections.isEmpty();
     }
 
     @Override
--- a/src/main/java/clovermill/front/Front.java
+++ b/src/main/java/clovermill/front/Front.java
@@ -11,7 +11,13 @@
     /** Starts to listen. */
     void open() throws IOException;
 
-    /** Tells clients to send nothing new, and goes on serving what comes all the same. */
+    /** Whether it takes new connections and the director can serve them. */
+    boolean ready();
+
+    /**
+     * Tells clients to send nothing new, and goes on serving what comes all the same. Where another process
+     * accepts from the same socket, no new connection is taken from here on.
+     */
     void leave();
 
     /** Takes no new connections any more; those that are open go on. */
@@ -19,4 +25,7 @@
 
     /** Whether every answer has been written. */
     boolean quiet();
+
+    /** Whether no client is connected. */
+    boolean empty();
 }
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -51,11 +51,13 @@
         private final Function<Connection, Connection.Handler> handlers;
         private final int most;
         private final Runnable makeRoom;
+        private final boolean owned;
         private int accepted;
 
-        private Listener(ServerSocketChannel channel, int most, Runnable makeRoom,
+        private Listener(ServerSocketChannel channel, boolean owned, int most, Runnable makeRoom,
                 Function<Connection, Connection.Handler> handlers) throws IOException {
             this.channel = channel;
+            this.owned = owned;
             this.most = most;
             this.makeRoom = makeRoom;
             this.handlers = handlers;
@@ -103,9 +105,14 @@
             }
         }
 
+        /** Accepts no more; a socket that was passed in stays open for whoever else accepts from it. */
         @Override
         public void close() {
-            quietly(channel);
+            if (owned) {
+                quietly(channel);
+            } else {
+                key.cancel();
+            }
         }
     }
 
@@ -123,13 +130,20 @@
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             channel.bind(address, BACKLOG);
-            return new Listener(channel, most, makeRoom, handlers);
+            return new Listener(channel, true, most, makeRoom, handlers);
         } catch (IOException | RuntimeException failure) {
             quietly(channel);
             throw failure;
         }
     }
 
+    /** As {@link #listen}, on a socket that listens already and belongs to somebody else. */
+    public Listener listenOn(ServerSocketChannel passed, int most, Runnable makeRoom,
+            Function<Connection, Connection.Handler> handlers) throws IOException {
+        passed.configureBlocking(false);
+        return new Listener(passed, false, most, makeRoom, handlers);
+    }
+
     /** Dials; the handler hears of the result. A dial that fails at once throws. */
     public Connection connect(InetSocketAddress address, Function<Connection, Connection.Handler> handlers)
             throws IOException {
--- /dev/null
+++ b/src/main/java/clovermill/outage/OutageFolder.java
@@ -0,0 +1,114 @@
+package clovermill.outage;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Marks in a folder that the processes of one director share: an empty file {@code out-ID} for each cache that is out,
+ * and {@code back-ID} with the Unix millisecond of its return for one that came back. A mark is made before a call is
+ * answered, and each file stands for itself, so that two processes need no lock. The folder lies in memory, and a look
+ * that finds nothing new costs one call for its attributes: both may be done on the loop.
+ */
+public final class OutageFolder {
+
+    /** What the marks tell. */
+    public record Marks(Set<String> out, Map<String, Long> back) { }
+
+    private static final System.Logger LOG = System.getLogger(OutageFolder.class.getName());
+    private static final String OUT = "out-";
+    private static final String BACK = "back-";
+    /** A folder that changed this short a time ago is read again: its time may be coarser than its changes. */
+    private static final long COARSE_MS = 50;
+
+    private final Path folder;
+    private long readMs;
+
+    /** Makes the folder if need be; throws what the file system says where that fails. */
+    public OutageFolder(Path folder) throws IOException {
+        this.folder = Files.createDirectories(folder);
+    }
+
+    /** Marks a cache as out. */
+    public void takeOut(String id) {
+        write(mark(OUT, id), "");
+    }
+
+    /** Marks a cache as back since a Unix millisecond; the mark of its being out goes last. */
+    public void putBack(String id, long nowMs) {
+        write(mark(BACK, id), Long.toString(nowMs));
+        try {
+            Files.deleteIfExists(mark(OUT, id));
+        } catch (IOException failure) {
+            warn(failure);
+        }
+    }
+
+    private void write(Path mark, String text) {
+        Path whole = folder.resolve("new-" + ProcessHandle.current().pid());
+        try {
+            Files.writeString(whole, text);
+            Files.move(whole, mark, StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException failure) {
+            warn(failure);
+        }
+    }
+
+    /** What the marks tell now; null where they have not changed since the last look, or cannot be read. */
+    public Marks look() {
+        try {
+            long changedMs = Files.getLastModifiedTime(folder).toMillis();
+            if (changedMs < readMs - COARSE_MS) {
+                return null;
+            }
+            readMs = System.currentTimeMillis();
+            Set<String> out = new HashSet<>();
+            Map<String, Long> back = new HashMap<>();
+            try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+                for (Path file : files) {
+                    String name = file.getFileName().toString();
+                    if (name.startsWith(OUT)) {
+                        out.add(id(name, OUT));
+                    } else if (name.startsWith(BACK)) {
+                        readBack(file, id(name, BACK), back);
+                    }
+                }
+            }
+            return new Marks(out, back);
+        } catch (IOException | IllegalArgumentException failure) {
+            warn(failure);
+            return null;
+        }
+    }
+
+    private static void readBack(Path file, String id, Map<String, Long> back) throws IOException {
+        try {
+            back.put(id, Long.parseLong(Files.readString(file)));
+        } catch (NumberFormatException | NoSuchFileException passing) {
+            // not a mark of ours, or gone meanwhile
+        }
+    }
+
+    private Path mark(String prefix, String id) {
+        return folder.resolve(prefix + URLEncoder.encode(id, StandardCharsets.UTF_8));
+    }
+
+    private static String id(String name, String prefix) {
+        return URLDecoder.decode(name.substring(prefix.length()), StandardCharsets.UTF_8);
+    }
+
+    private static void warn(Exception failure) {
+        LOG.log(Level.WARNING, "the folder of outages: {0}", failure.toString());
+    }
+}
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -16,12 +16,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * Plays a scenario against a whole director on loopback sockets and a clock that only {@code wait} moves.
@@ -33,6 +35,11 @@
  * send channel {...}                          an answer of the command channel; raw TEXT as it is
  * send director TERM                          also HUP channel=ADDRESS, HUP TEXT: a new configuration; FILE with
  *                                             the same: without a signal; FILE - removes it; DEAF: no SIGHUP comes
+ * send op PUT /path BODY                      an operator's call at admin; names start with op, and those that end
+ *                                             in -previous call the earlier process
+ * expect op 200 | text                        its answer
+ * start director MS                           one more process beside the present one, which serves after so long;
+ *                                             "director" is the earlier one from then on, until it has stopped
  * expect c1 served 1 etag=t | bytes           also refused, failed, leaving, ready, unready; nothing; closed,
  *                                             whatever came before
  * expect s-1 want ID name=value !name         also never_mind ID, closed, nothing
@@ -53,7 +60,9 @@
     private final Map<String, Party> parties = new LinkedHashMap<>();
     private final List<SocketChannel> fillers = new ArrayList<>();
     private final Path folder;
-    private final Assembly director;
+    private final ServerSocketChannel passed;
+    private Assembly director;
+    private Assembly previous;
 
     /** One connection of a party, and what has arrived on it. */
     private static final class Link {
@@ -90,6 +99,7 @@
 
     /** A client with its one connection, or a party that listens, and the link that was spoken on last. */
     private static final class Party {
+        boolean operator;
         ServerSocketChannel listener;
         String address;
         boolean deaf;
@@ -122,8 +132,12 @@
         this(settleUs, null);
     }
 
-    /** With a ledger, unless that is null. */
     Scenario(long settleUs, LedgerSettings ledger) throws Exception {
+        this(settleUs, ledger, false);
+    }
+
+    /** With a ledger, unless that is null; {@code upgrades} on a platform that holds the clients' listening socket. */
+    Scenario(long settleUs, LedgerSettings ledger, boolean upgrades) throws Exception {
         for (String name : List.of("s-1", "s-2", "p-1", "o-1", "channel")) {
             Party party = new Party();
             party.listener = ServerSocketChannel.open();
@@ -134,7 +148,14 @@
         }
         folder = Files.createTempDirectory("scenario");
         Files.writeString(file(), configuration());
-        director = new Assembly(Config.read(configuration(), null), file(), new Clock() {
+        passed = upgrades ? ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                : null;
+        director = started(settleUs, ledger);
+    }
+
+    private Assembly started(long settleUs, LedgerSettings ledger) throws Exception {
+        Config config = Config.read(configuration(), null);
+        return new Assembly(config, file(), new Clock() {
             @Override
             public long micros() {
                 return nowUs;
@@ -144,7 +165,8 @@
             public long unixMillis() {
                 return nowUs / 1000;
             }
-        }, settleUs, ledger);
+        }, settleUs, ledger, new Platform(passed, config.admin(),
+                passed == null ? null : folder.resolve("shared")));
     }
 
     private String configuration() throws IOException {
@@ -158,7 +180,7 @@
     private void signal(String what) throws IOException {
         String[] parts = what.split(" ", 2);
         switch (parts[0]) {
-            case "TERM" -> director.leave();
+            case "TERM" -> (previous != null ? previous : director).leave();
             case "DEAF" -> director.reloader().watchAlways();
             default -> {
                 if (parts[1].equals("-")) {
@@ -199,7 +221,7 @@
         }
     }
 
-    private void step(String verb, String rest) throws IOException {
+    private void step(String verb, String rest) throws Exception {
         String[] parts = rest.split(" ", 2);
         switch (verb) {
             case "times" -> {
@@ -216,12 +238,19 @@
             }
             case "send" -> send(parts[0], parts[1]);
             case "expect" -> expect(parts[0], parts[1]);
+            case "start" -> {
+                previous = director;
+                director = started(Long.parseLong(rest.split(" ")[1]) * 1000, null);
+            }
             case "close" -> close(parts[0], parts.length > 1 ? parts[1] : "");
             default -> throw new IllegalArgumentException("unknown verb");
         }
     }
 
     private void turn(long mostMs) throws IOException {
+        if (previous != null) {
+            previous.loop().turn(0);
+        }
         director.loop().turn(mostMs);
         for (Party party : parties.values()) {
             party.poll();
@@ -234,7 +263,10 @@
             party = new Party();
             SocketChannel channel = SocketChannel.open();
             channel.setOption(StandardSocketOptions.SO_RCVBUF, 1 << 16);
-            channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), director.port()));
+            party.operator = name.startsWith("op");
+            channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), party.operator
+                    ? (name.endsWith("-previous") ? previous : director).adminPort()
+                    : passed != null ? passed.socket().getLocalPort() : director.port()));
             party.links.add(new Link(channel));
             parties.put(name, party);
         }
@@ -249,6 +281,7 @@
         }
         Party party = party(who);
         ByteBuffer bytes = ByteBuffer.wrap(what.startsWith("raw ") ? unescaped(what.substring(4))
+                : party.operator ? call(what)
                 : who.equals("channel") ? response(what) : party.listener != null ? answer(what) : frame(what));
         party.link = party.asked.getOrDefault(what.split(" ")[0], party.link);
         for (int i = 0; i < TURNS && bytes.hasRemaining(); i++) {
@@ -262,6 +295,13 @@
         return text.replace("\\r", "\r").replace("\\n", "\n").getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    private static byte[] call(String what) {
+        String[] words = what.split(" ", 3);
+        String body = words.length < 3 ? "" : words[2];
+        return (words[0] + " " + words[1] + " HTTP/1.1\r\nHost: here\r\n" + (body.isEmpty() ? ""
+                : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body).getBytes(StandardCharsets.US_ASCII);
+    }
+
     private static byte[] response(String body) {
         return ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII);
@@ -302,7 +342,8 @@
 
     private void expect(String who, String what) throws IOException {
         if (who.equals("director")) {
-            director.loop().run();
+            (previous != null ? previous : director).loop().run();
+            previous = null;
             return;
         }
         Party party = party(who);
@@ -310,7 +351,8 @@
         boolean silence = what.equals("nothing");
         boolean closing = what.equals("closed");
         for (int i = 0; i < (silence ? 20 : TURNS) && (got == null || !silence && !matches(what, got)); i++) {
-            got = closing ? null : party.listener == null ? heard(party.link) : asked(party, what);
+            got = closing ? null : party.operator ? told(party.link) : party.listener == null ? heard(party.link)
+                    : asked(party, what);
             if (got == null && party.ended() && (party.listener == null || closing)
                     || got != null && party.listener == null) {
                 break;
@@ -372,6 +414,18 @@
         return taken.substring(0, end) + (length > 0 ? " | " + taken.substring(end + 2, end + 2 + length) : "");
     }
 
+    /** An answer of HTTP: its status, and its body behind a bar. */
+    private static String told(Link link) {
+        String text = new String(link.read, StandardCharsets.US_ASCII);
+        int end = text.indexOf("\r\n\r\n");
+        if (end < 0 || !link.ended && !text.contains(" 100 ")) {
+            return null;
+        }
+        String answer = new String(link.take(text.contains(" 100 ") ? end + 4 : link.read.length),
+                StandardCharsets.US_ASCII);
+        return answer.split(" ")[1] + " | " + answer.substring(end + 4).strip();
+    }
+
     private static String heard(Link link) {
         ByteBuffer bytes = ByteBuffer.wrap(link.read).order(ByteOrder.LITTLE_ENDIAN);
         if (bytes.remaining() < 4 || bytes.remaining() < 4 + bytes.getInt(0)) {
@@ -432,8 +486,14 @@
     @Override
     public void close() throws IOException {
         director.close();
-        Files.deleteIfExists(file());
-        Files.delete(folder);
+        if (passed != null) {
+            passed.close();
+        }
+        try (Stream<Path> left = Files.walk(folder)) {
+            for (Path each : left.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(each);
+            }
+        }
         for (SocketChannel filler : fillers) {
             filler.close();
         }
--- a/src/test/java/clovermill/ScenarioTest.java
+++ b/src/test/java/clovermill/ScenarioTest.java
@@ -25,7 +25,7 @@
     List<DynamicTest> scenarios() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenarios"))) {
             return files.sorted().map(file -> DynamicTest.dynamicTest(file.getFileName().toString(), () -> {
-                try (Scenario scenario = new Scenario(0)) {
+                try (Scenario scenario = new Scenario(0, null, file.getFileName().toString().startsWith("upgrade"))) {
                     scenario.play(Files.readAllLines(file));
                 }
             })).toList();
--- /dev/null
+++ b/src/test/java/clovermill/admin/CallParserTest.java
@@ -0,0 +1,70 @@
+package clovermill.admin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import clovermill.Splits;
+import clovermill.admin.decide.Call;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CallParserTest {
+
+    private static final String SIZED = "PUT /caches/disable?by=night HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n"
+            + "{\"id\":\"s\"}";
+    private static final String CHUNKED = "\r\nPUT /x HTTP/1.1\nTransfer-Encoding: Chunked\n\n3;e=1\r\nabc\r\nA\r\n"
+            + "0123456789\r\n0\r\nTrailer: t\r\n\r\n";
+
+    private static Splits.Parser parser(Consumer<String> told) {
+        CallParser parser = new CallParser();
+        return data -> {
+            Call call = parser.parse(data);
+            if (call != null && data.limit() > 0) {
+                told.accept(call.method() + " " + call.path() + " " + call.body());
+            }
+        };
+    }
+
+    private static Call parse(String text) throws Exception {
+        return new CallParser().parse(ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
+    }
+
+    @Test
+    void aCallIsTheSameWhereverItIsCut() throws Exception {
+        for (int cut = 0; cut < SIZED.length(); cut++) {
+            CallParser parser = new CallParser();
+            assertThat(parser.parse(ByteBuffer.wrap(SIZED.substring(0, cut).getBytes()))).isNull();
+            assertThat(parser.parse(ByteBuffer.wrap(SIZED.substring(cut).getBytes())))
+                    .isEqualTo(new Call("PUT", "/caches/disable", "{\"id\":\"s\"}"));
+        }
+        for (int cut = 0; cut < CHUNKED.length(); cut++) {
+            CallParser parser = new CallParser();
+            assertThat(parser.parse(ByteBuffer.wrap(CHUNKED.substring(0, cut).getBytes()))).isNull();
+            assertThat(parser.parse(ByteBuffer.wrap(CHUNKED.substring(cut).getBytes())))
+                    .isEqualTo(new Call("PUT", "/x", "abc0123456789"));
+        }
+        assertThat(parse("GET /ready HTTP/1.0\r\n\r\n")).isEqualTo(new Call("GET", "/ready", ""));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"hello\r\n", "GET ready HTTP/1.1\r\n", "GET / HTTP/2.0\r\n", "GET / HTTP/1.1\r\n: v\r\n",
+        "GET / HTTP/1.1\r\nA : v\r\n", "GET / HTTP/1.1\r\nContent-Length: -1\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n", "GET / HTTP/1.1\r\nContent-Length: 99999\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n"})
+    void whatCannotBeReadIsRefused(String text) {
+        assertThatThrownBy(() -> parse(text)).isInstanceOf(CallParser.BadCall.class);
+    }
+
+    @Test
+    void aHeadWithoutEndIsRefusedAndJunkIsNoFault() {
+        assertThatThrownBy(() -> parse("GET / HTTP/1.1\r\nA: " + "a".repeat(9000)))
+                .isInstanceOf(CallParser.BadCall.class);
+        Splits.junk(CHUNKED.getBytes(StandardCharsets.US_ASCII), CallParser.BadCall.class, CallParserTest::parser);
+    }
+}
