New settings are taken whole with SIGHUP, and classes keep their number by their name

Change: a file is taken whole or not at all (Shape: what the one in force has must be there; deadlines and attempts are positive numbers). For 2 s old and new terms both bind (the stricter effect and fewer attempts), a dropped class is taken until then. Open requests keep class and attempts (Policy.Pending). The module made room by simplifying maxAge, mayRepeatAt, onMembers.

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -84,10 +84,10 @@
             admin.open(platform.admin());
         }
         front.open();
-        departure = new Departure(loop, clock, deadlines, front, platform.passed() == null ? 0
-                : settings.classes().stream().mapToLong(CacheRouter.RequestClass::deadlineUs).max().orElse(0));
-        // What a new configuration may change while requests are in flight: the command channel's address.
-        reloader = new Reloader(file, clock, deadlines, changed -> channel.move(changed.channel()));
+        Retuning retuning = new Retuning(config, clock, deadlines, host, front, channel);
+        departure = new Departure(loop, clock, deadlines, front,
+                () -> platform.passed() == null ? 0 : retuning.longestUs());
+        reloader = new Reloader(file, clock, deadlines, config, retuning::take);
     }
 
     EventLoop loop() {
--- a/src/main/java/clovermill/CacheRouter.java
+++ b/src/main/java/clovermill/CacheRouter.java
@@ -57,7 +57,16 @@
             Siblings siblings,
             Telling telling, ColdRule cold, ColdRule parentCold, long drainGraceUs, long answerSlackUs,
             long purgeNoticeUs, long purgeDoneUs, long dialTimeoutUs, boolean listOnRequest, long mustAskUs,
-            double originFallMultiple, long originFallUs, Permissions allowed) { }
+            double originFallMultiple, long originFallUs, Permissions allowed) {
+
+        /** The same with other classes and permissions. */
+        public Settings with(List<RequestClass> otherClasses, Permissions otherwise) {
+            return new Settings(position, directors, zone, otherClasses, directorsByZone, hubOf, parentKind,
+                    originKind, paceKbPerS, weighted, siblings, telling, cold, parentCold, drainGraceUs,
+                    answerSlackUs, purgeNoticeUs, purgeDoneUs, dialTimeoutUs, listOnRequest, mustAskUs,
+                    originFallMultiple, originFallUs, otherwise);
+        }
+    }
 
     /** Whether new work may go to a member. */
     enum Availability { HEALTHY, DRAINING, GONE }
@@ -120,6 +129,12 @@
     /** An object, or with a null {@code object} a whole group, was purged {@code ageUs} ago. */
     record Purge(Long object, int group, long ageUs) implements Event { }
 
+    /**
+     * Other settings are in force. Classes keep their places in the list, further ones follow; requests that are open
+     * keep what they began with.
+     */
+    record Retuned(Settings settings) implements Event { }
+
     /** A timer set by {@link SetTimer} is due. */
     record Timer(long token) implements Event { }
 
--- a/src/main/java/clovermill/Departure.java
+++ b/src/main/java/clovermill/Departure.java
@@ -4,6 +4,7 @@
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
+import java.util.function.LongSupplier;
 
 /**
  * A planned restart: clients are told to go, what they still send for a while is served like all else, and
@@ -26,12 +27,12 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Front front;
-    private final long patienceUs;
+    private final LongSupplier longestUs;
     private long patientUntilUs;
 
-    /** {@code longestUs} is the longest deadline of a request where another process takes over, else 0. */
-    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, long longestUs) {
-        this.patienceUs = longestUs == 0 ? 0 : Math.min(longestUs, MOST_PATIENCE_US) + BEYOND_US;
+    /** {@code longestUs} gives the longest deadline of a request where another process takes over, else 0. */
+    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, LongSupplier longestUs) {
+        this.longestUs = longestUs;
         this.loop = loop;
         this.clock = clock;
         this.deadlines = deadlines;
@@ -40,7 +41,8 @@
 
     void begin() {
         front.leave();
-        patientUntilUs = clock.micros() + patienceUs;
+        long openUs = longestUs.getAsLong();
+        patientUntilUs = clock.micros() + (openUs == 0 ? 0 : Math.min(openUs, MOST_PATIENCE_US) + BEYOND_US);
         deadlines.add(clock.micros() + LINGER_US, this::shut);
     }
 
--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -71,7 +71,7 @@
     private static final long WATCH_TOKEN = Long.MAX_VALUE;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
     private final Map<String, Node> nodes = new HashMap<>();
     private final Map<String, Pending> requests = new HashMap<>();
@@ -94,7 +94,7 @@
     };
     /** Purges by object (a Long) or group (an Integer). */
     private final Map<Object, Purged> purges = new LinkedHashMap<>();
-    private final double[] meanWorkUs;
+    private final Map<Integer, Double> meanWorkUs = new HashMap<>();
     private final Ring caches = new Ring();
     private final Ring parents = new Ring();
     private Node origin;
@@ -112,7 +112,6 @@
     public Policy(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
-        this.meanWorkUs = new double[settings.classes().size()];
     }
 
     @Override
@@ -145,6 +144,8 @@
             onPurge(purge);
         } else if (event instanceof Timer timer) {
             onTimer(timer);
+        } else if (event instanceof Retuned retuned) {
+            settings = retuned.settings();
         }
         // Only now: the event may have ended a request, or told of a member that drains.
         while (!hedges.isEmpty() && hedges.peek().hedgeUs() <= now) {
@@ -156,6 +157,7 @@
     private static final class Pending {
         final Request request;
         final RequestClass kind;
+        final int attempts;
         final long deadlineUs;
         final long workUs;
         final long aimUs;
@@ -167,10 +169,12 @@
         Node mayHaveRunAt;
         boolean over;
 
-        Pending(Request request, RequestClass kind, long now, double paceKbPerS) {
+        Pending(Request request, Settings settings, long now) {
             this.request = request;
-            this.kind = kind;
+            this.kind = settings.classes().get(request.requestClass());
+            this.attempts = settings.allowed().maxAttempts();
             this.deadlineUs = now + request.graceUs();
+            double paceKbPerS = settings.paceKbPerS();
             this.workUs = paceKbPerS > 0 ? (long) (request.sizeKb() / paceKbPerS * 1e6) : 0;
             this.aimUs = Math.min(kind.deadlineUs(), kind.aimUs() + (long) (kind.aimStretch() * workUs));
         }
@@ -203,11 +207,10 @@
     // ---- Request path ---------------------------------------------------------------------------
 
     private void onRequest(Request request) {
-        RequestClass kind = settings.classes().get(request.requestClass());
-        Pending pending = new Pending(request, kind, now, settings.paceKbPerS());
+        Pending pending = new Pending(request, settings, now);
         requests.put(request.id(), pending);
-        double mean = meanWorkUs[request.requestClass()];
-        meanWorkUs[request.requestClass()] = mean == 0 ? pending.workUs : mean + (pending.workUs - mean) / 64;
+        meanWorkUs.merge(request.requestClass(), (double) pending.workUs,
+                (mean, work) -> mean == 0 ? work : mean + (work - mean) / 64);
         hedgeCredit = Math.min(MOST_HEDGED, hedgeCredit + HEDGED);
         attempt(pending);
     }
@@ -219,12 +222,11 @@
      */
     private void hedge(Attempt first) {
         Pending pending = first.pending;
-        long left = pending.deadlineUs - now;
         if (pending.over || !pending.out.containsValue(first)) {
             return;
         }
         hedgeCredit = Math.max(-MOST_HEDGED, hedgeCredit - 1);
-        if (hedgeCredit < 0 || left < Math.max(LEAST_ATTEMPT_US, FASTEST * pending.workUs)) {
+        if (hedgeCredit < 0 || spent(pending)) {
             return;
         }
         pending.failed.add(first.choice.target);
@@ -234,15 +236,19 @@
         }
         Choice choice = pending.kind.goesThrough() ? chooseForWrite(pending) : choose(pending);
         if (choice != null && choice != LOADED && mayRepeatAt(pending, choice.target)) {
-            send(pending, new Choice(choice.target, choice.source, 0, choice.believed, choice.sparing), left);
+            send(pending, new Choice(choice.target, choice.source, 0, choice.believed, choice.sparing));
         }
     }
 
+    /** Whether no time or attempt is left; of the first and the present number the lesser counts. */
+    private boolean spent(Pending pending) {
+        return pending.deadlineUs - now < Math.max(LEAST_ATTEMPT_US, FASTEST * pending.workUs)
+                || pending.sent >= Math.min(pending.attempts, settings.allowed().maxAttempts());
+    }
+
     /** Sends the next attempt of a request, or ends it where none is left. */
     private void attempt(Pending pending) {
-        long left = pending.deadlineUs - now;
-        if (left < Math.max(LEAST_ATTEMPT_US, FASTEST * pending.workUs)
-                || pending.sent >= settings.allowed().maxAttempts()) {
+        if (spent(pending)) {
             end(pending);
             return;
         }
@@ -253,7 +259,7 @@
         } else if (choice == LOADED || !mayRepeatAt(pending, choice.target)) {
             end(pending);
         } else {
-            send(pending, choice, left);
+            send(pending, choice);
         }
     }
 
@@ -370,9 +376,10 @@
         return cache == null || source == null ? null : new Choice(cache, source, 0, false, false);
     }
 
-    private void send(Pending pending, Choice choice, long left) {
+    private void send(Pending pending, Choice choice) {
         Request request = pending.request;
         Node target = choice.target;
+        long left = pending.deadlineUs - now;
         int index = pending.sent++;
         charge(target, pending);
         if (choice.source != null && choice.source != target) {
@@ -779,7 +786,7 @@
     }
 
     private double workOf(Pending pending) {
-        return Math.max(1, meanWorkUs[pending.request.requestClass()]);
+        return Math.max(1, meanWorkUs.getOrDefault(pending.request.requestClass(), 0.0));
     }
 
     /**
@@ -806,7 +813,7 @@
         node.trialUs = 0;
         node.room = 0;
         node.creditUs = now;
-        node.credit = -random.nextDouble() * Arrays.stream(meanWorkUs).max().orElse(0);
+        node.credit = -random.nextDouble() * meanWorkUs.values().stream().max(Double::compare).orElse(0.0);
     }
 
     /** Charges an attempt to a cold member's credit, and as the one trial for a while to a sick one. */
@@ -830,13 +837,12 @@
         }
         // A repeat may still wait for its connection: the window must not close meanwhile.
         long spentUs = now - pending.mayHaveRunUs + settings.dialTimeoutUs();
-        if (kind.effect() == Effect.AT_MOST_ONCE || spentUs >= kind.windowUs()) {
-            return false;
-        }
         Node first = pending.mayHaveRunAt;
-        return kind.keyScope() == KeyScope.ALL
-                || kind.keyScope() == KeyScope.ZONE && first.zone == target.zone
-                || kind.keyScope() == KeyScope.CELL && first.cell == target.cell;
+        return kind.effect() != Effect.AT_MOST_ONCE && spentUs < kind.windowUs() && switch (kind.keyScope()) {
+            case ALL -> true;
+            case ZONE -> first.zone == target.zone;
+            case CELL -> first.cell == target.cell;
+        };
     }
 
     private static boolean mayRefuse(Pending pending) {
@@ -947,13 +953,10 @@
     }
 
     private void onMembers(Members news) {
-        if (news.scope() == ListScope.FAILED) {
-            if (settings.listOnRequest()) {
-                out.accept(new SetTimer(TRIAL_US, WATCH_TOKEN));
-            }
-            return;
+        if (news.scope() == ListScope.FAILED && settings.listOnRequest()) {
+            out.accept(new SetTimer(TRIAL_US, WATCH_TOKEN));
         }
-        if (news.scope() != ListScope.CHANGES) {
+        if (news.scope() == ListScope.FULL || news.scope() == ListScope.REMEMBERED) {
             nodes.values().forEach(node -> node.listed = false);
         }
         for (Member member : news.members()) {
@@ -1021,10 +1024,7 @@
     /** The greatest age that will do: the fresh time, and nothing from before a purge. */
     private long maxAge(Pending pending, Purged purged) {
         long fresh = pending.kind.freshUs();
-        if (purged == null) {
-            return fresh;
-        }
-        long since = Math.max(1, now - purged.madeUs - 1);
+        long since = purged == null ? fresh : Math.max(1, now - purged.madeUs - 1);
         return fresh == 0 ? since : Math.min(fresh, since);
     }
 }
--- a/src/main/java/clovermill/config/Config.java
+++ b/src/main/java/clovermill/config/Config.java
@@ -19,7 +19,7 @@
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress channel,
         long seed, int sockets, Object known, Settings settings, List<String> classes, List<String> zones,
-        List<String> kinds, int streamsPerConnection, long connectionIdleUs) {
+        List<String> kinds, int streamsPerConnection, long connectionIdleUs, Shape shape) {
 
     private static final long DEFAULT_IDLE_US = 30_000_000;
 
@@ -40,7 +40,16 @@
         flatten("", settings, pairs);
         List<String> classes = new ArrayList<>();
         for (Object item : Json.list(settings, "request-classes")) {
-            classes.add(Json.string(Json.object(item), "name"));
+            Map<?, ?> each = Json.object(item);
+            String name = Json.string(each, "name");
+            if (classes.contains(name)) {
+                throw new Json.Malformed("settings.request-classes: " + name + " is there twice");
+            }
+            positive(each, "deadline-us", "settings.request-classes: " + name + ".");
+            classes.add(name);
+        }
+        if (settings.get("policy-limits") instanceof Map<?, ?> limits) {
+            positive(limits, "max-attempts", "settings.policy-limits.");
         }
         Settings read = SettingsReader.read(pairs);
         if (read.zone() < 0 || read.classes().isEmpty() || read.allowed().maxAttempts() < 1) {
@@ -53,7 +62,23 @@
                 (int) Json.number(Json.object(root, "limits"), "sockets"), Json.object(root, "known"), read, classes,
                 names(settings, "zones"), names(settings, "kinds"),
                 (int) whole(pairs.getOrDefault("policy-limits.streams-per-conn", "1")),
-                whole(pairs.getOrDefault("policy-limits.conn-idle-us", "" + DEFAULT_IDLE_US)));
+                whole(pairs.getOrDefault("policy-limits.conn-idle-us", "" + DEFAULT_IDLE_US)),
+                Shape.of(root));
+    }
+
+    private static void positive(Map<?, ?> object, String member, String path) throws Json.Malformed {
+        if (object.containsKey(member) && !(object.get(member) instanceof Double number && number > 0)) {
+            throw new Json.Malformed(path + member + ": not a positive number");
+        }
+    }
+
+    /**
+     * Checks that a configuration can take the place of this one while the director serves.
+     *
+     * @throws Json.Malformed naming what it lacks of what this one has
+     */
+    public void checkNext(Config next) throws Json.Malformed {
+        shape.check(next.shape);
     }
 
     /** An address of the form host:port, the host a literal one: nothing is looked up. */
--- a/src/main/java/clovermill/front/FrameConnection.java
+++ b/src/main/java/clovermill/front/FrameConnection.java
@@ -18,13 +18,14 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /** One client connection; it owns its open streams and answers each of them once. */
 final class FrameConnection implements Connection.Handler {
 
     /** What all connections of the front share. */
     record Shared(Host host, RequestReader reader, Budget budget, Clock clock, Deadlines deadlines,
-            long awayMs, BooleanSupplier ready, IdleConnections idle, Consumer<FrameConnection> closed) { }
+            LongSupplier awayMs, BooleanSupplier ready, IdleConnections idle, Consumer<FrameConnection> closed) { }
 
     private static final int MOST_OPEN = 32;
     /** Nothing more is read from a client that lets so much of its answers lie. */
@@ -240,7 +241,7 @@
         }
         int bodyBytes = payload.remaining();
         if (open.size() >= MOST_OPEN || !shared.budget.take(bodyBytes)) {
-            refuse(stream, shared.awayMs);
+            refuse(stream, shared.awayMs.getAsLong());
             notTaken(fields);
             return;
         }
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -42,6 +42,7 @@
     private final Set<FrameConnection> connections = new LinkedHashSet<>();
     private final IdleConnections idle = new IdleConnections();
     private EventLoop.Listener listener;
+    private long awayMs;
     private boolean leaving;
 
     public FrameFront(EventLoop loop, Clock clock, Deadlines deadlines, Budget budget, Host host,
@@ -51,9 +52,16 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.terms = terms;
-        this.reader = new RequestReader(classNames, settings.classes(), settings.paceKbPerS(), MARGIN_US);
-        this.shared = new FrameConnection.Shared(host, reader, budget, clock, deadlines,
-                settings.allowed().maxRetryAfterUs() / 1000, this::ready, idle, this::forget);
+        this.reader = new RequestReader(MARGIN_US);
+        this.shared = new FrameConnection.Shared(host, reader, budget, clock, deadlines, () -> awayMs, this::ready,
+                idle, this::forget);
+        retune(classNames, settings);
+    }
+
+    /** Takes requests of these classes from now on; a name is null where its class is taken no more. */
+    public void retune(List<String> classNames, Settings settings) {
+        reader.retune(classNames, settings.classes(), settings.paceKbPerS());
+        awayMs = settings.allowed().maxRetryAfterUs() / 1000;
     }
 
     @Override
--- a/src/main/java/clovermill/front/RequestReader.java
+++ b/src/main/java/clovermill/front/RequestReader.java
@@ -32,20 +32,27 @@
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
 
     private final Map<String, Integer> classes = new HashMap<>();
-    private final List<RequestClass> kinds;
-    private final double paceKbPerS;
     private final long marginUs;
+    private List<RequestClass> kinds = List.of();
+    private double paceKbPerS;
 
     /** {@code marginUs} is kept back from the time that a client waits, for the way of its answer. */
-    RequestReader(List<String> names, List<RequestClass> kinds, double paceKbPerS, long marginUs) {
-        for (String name : names) {
-            classes.put(name, classes.size());
-        }
-        this.kinds = kinds;
-        this.paceKbPerS = paceKbPerS;
+    RequestReader(long marginUs) {
         this.marginUs = marginUs;
     }
 
+    /** Reads requests of these classes from now on; the name is null of one that is taken no more. */
+    void retune(List<String> names, List<RequestClass> newKinds, double newPaceKbPerS) {
+        classes.clear();
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i) != null) {
+                classes.put(names.get(i), i);
+            }
+        }
+        kinds = newKinds;
+        paceKbPerS = newPaceKbPerS;
+    }
+
     /**
      * Checks every field before anything of the request is kept, told to the module or sent: a cache that
      * cannot read one line closes on all that is open with it, and a figure that is out of range would be
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -21,8 +21,8 @@
     private static final System.Logger LOG = System.getLogger(Host.class.getName());
 
     private final CacheRouter router;
-    private final CacheRouter.Permissions allowed;
-    private final long slackUs;
+    private CacheRouter.Permissions allowed;
+    private long slackUs;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Upstream upstream;
@@ -233,6 +233,13 @@
         deliver(event);
     }
 
+    /** Puts other settings in force, for requests that come from now on. */
+    public void retune(CacheRouter.Settings settings) {
+        allowed = settings.allowed();
+        slackUs = settings.answerSlackUs();
+        deliver(new CacheRouter.Retuned(settings));
+    }
+
     /** Requests that still wait for their answer. */
     public int unanswered() {
         return (int) calls.values().stream().filter(call -> !call.over()).count();
--- a/src/main/java/clovermill/reload/Reloader.java
+++ b/src/main/java/clovermill/reload/Reloader.java
@@ -10,7 +10,6 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * Takes a new configuration from its file while requests are in flight. A signal opens a span of time in which
@@ -29,17 +28,26 @@
     private final Path file;
     private final Clock clock;
     private final Deadlines deadlines;
-    private final Consumer<Config> taken;
+    private final Taker taker;
     private final ConfigWatch watch;
     private Deadlines.Deadline next;
+    private Config inForce;
     private long untilUs;
 
-    /** {@code taken} gets each configuration that can be read; that in force counts as known. */
-    public Reloader(Path file, Clock clock, Deadlines deadlines, Consumer<Config> taken) {
+    /** Takes over a new configuration. */
+    public interface Taker {
+
+        /** Takes a whole and usable configuration, or throws without having taken anything of it. */
+        void take(Config config) throws Json.Malformed;
+    }
+
+    /** {@code taker} gets each configuration that is whole; the file as it is now counts as known. */
+    public Reloader(Path file, Clock clock, Deadlines deadlines, Config inForce, Taker taker) {
         this.file = file;
         this.clock = clock;
         this.deadlines = deadlines;
-        this.taken = taken;
+        this.inForce = inForce;
+        this.taker = taker;
         this.watch = new ConfigWatch(stamp());
     }
 
@@ -61,7 +69,10 @@
         ConfigWatch.Stamp seen = stamp();
         if (watch.look(seen)) {
             try {
-                taken.accept(Config.load(file.toString(), null));
+                Config read = Config.load(file.toString(), null);
+                inForce.checkNext(read);
+                taker.take(read);
+                inForce = read;
             } catch (Json.Malformed bad) {
                 warn(bad.getMessage());
             }
--- /dev/null
+++ b/src/test/java/clovermill/RetunedTest.java
@@ -0,0 +1,78 @@
+package clovermill;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import clovermill.CacheRouter.Action;
+import clovermill.CacheRouter.Fail;
+import clovermill.CacheRouter.Note;
+import clovermill.CacheRouter.Permissions;
+import clovermill.CacheRouter.Refuse;
+import clovermill.CacheRouter.Request;
+import clovermill.CacheRouter.RequestClass;
+import clovermill.CacheRouter.Result;
+import clovermill.CacheRouter.Retuned;
+import clovermill.CacheRouter.SendVia;
+import clovermill.CacheRouter.Settings;
+import clovermill.CacheRouter.Telling;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** New settings while requests are open. */
+class RetunedTest {
+
+    private static Settings with(int attempts, List<RequestClass> classes) {
+        Settings settings = Director.settings(true, Telling.ALL);
+        Permissions told = settings.allowed();
+        return settings.with(classes, new Permissions(told.straight(), told.joins(), told.cancelling(), false, false,
+                false, attempts, told.maxOpen(), 0));
+    }
+
+    /** How often a read is sent of which every attempt fails, with other settings after the first. */
+    private static int sends(int attemptsBefore, int attemptsAfter) {
+        Director director = new Director(with(attemptsBefore, List.of(Director.READ)), 7);
+        director.tell(Director.fleet(4));
+        Request request = director.request(0, 11, 0);
+        List<Action> actions = new ArrayList<>(director.tell(request));
+        director.tell(new Retuned(with(attemptsAfter, List.of(Director.READ))));
+        int sent = 0;
+        while (!actions.isEmpty()) {
+            Action next = actions.remove(0);
+            if (next instanceof SendVia via) {
+                actions.addAll(director.answer(via, sent++, Result.MISS, Note.NONE, 1000));
+            } else if (next instanceof CacheRouter.SetTimer timer) {
+                director.now += timer.delayUs();
+                actions.addAll(director.tell(new CacheRouter.Timer(timer.token())));
+            } else if (next instanceof Refuse || next instanceof Fail) {
+                return sent;
+            }
+        }
+        return -1;
+    }
+
+    /** Neither the number of attempts at its beginning nor the present one may be passed. */
+    @Test
+    void anOpenRequestKeepsToTheLesserNumberOfAttempts() {
+        assertThat(sends(3, 6)).isEqualTo(3);
+        assertThat(sends(6, 2)).isEqualTo(2);
+        assertThat(sends(4, 4)).isEqualTo(4);
+    }
+
+    @Test
+    void anOpenRequestKeepsItsClassAndANewOneHasTheNewTerms() {
+        Director director = new Director(with(6, List.of(Director.READ, Director.KEYED)), 7);
+        director.tell(Director.fleet(4));
+        Request open = director.request(1, 11, 0);
+        Action sent = director.tell(open).get(0);
+        director.tell(new Retuned(with(6, List.of(Director.READ, Director.ONCE, Director.FRESH))));
+        assertThat(sent).isInstanceOf(CacheRouter.Send.class);
+        String member = ((CacheRouter.Send) sent).member();
+        assertThat(director.tell(new CacheRouter.Outcome(open.id(), 0, member, Result.BROKEN, 1000, false, Note.NONE,
+                0, null))).as("a keyed one may be repeated").anyMatch(next -> next instanceof SendVia);
+        Request later = director.request(1, 12, 0);
+        assertThat(director.tell(later)).anyMatch(CacheRouter.Send.class::isInstance);
+        assertThat(director.tell(new CacheRouter.Outcome(later.id(), 0, member, Result.BROKEN, 1000, false, Note.NONE,
+                0, null))).as("one that runs at most once may not").anyMatch(Fail.class::isInstance);
+        assertThat(director.tell(director.request(2, 13, 0))).as("a class that is new").isNotEmpty();
+    }
+}
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -33,7 +33,8 @@
  *                                             also give-up N, ready N, hex BYTES
  * send s-1 ID DONE etag=t | bytes             an answer of a member on its newest connection; raw TEXT as it is
  * send channel {...}                          an answer of the command channel; raw TEXT as it is
- * send director TERM                          also HUP channel=ADDRESS, HUP TEXT: a new configuration; FILE with
+ * send director TERM                          also HUP channel=ADDRESS, HUP TEXT, HUP edit OLD -> NEW ;; OLD -> NEW:
+ *                                             a new configuration; FILE with
  *                                             the same: without a signal; FILE - removes it; DEAF: no SIGHUP comes
  * send op PUT /path BODY                      an operator's call at admin; names start with op, and those that end
  *                                             in -previous call the earlier process
@@ -187,7 +188,8 @@
                     Files.delete(file());
                 } else {
                     Files.writeString(file(), parts[1].startsWith("channel=") ? configuration().replaceAll(
-                            "\"channel\":\"[^\"]*\"", "\"channel\":\"" + parts[1].substring(8) + "\"") : parts[1]);
+                            "\"channel\":\"[^\"]*\"", "\"channel\":\"" + parts[1].substring(8) + "\"")
+                            : parts[1].startsWith("edit ") ? edited(parts[1].substring(5)) : parts[1]);
                 }
                 if (parts[0].equals("HUP")) {
                     director.reloader().signalled();
@@ -196,6 +198,19 @@
         }
     }
 
+    /** The configuration with some texts replaced: {@code OLD -> NEW ;; OLD -> NEW}. */
+    private String edited(String edits) throws IOException {
+        String text = configuration();
+        for (String edit : edits.split(" ;; ")) {
+            String[] change = edit.split(" -> ", 2);
+            if (!text.contains(change[0])) {
+                throw new IllegalArgumentException("the configuration has no " + change[0]);
+            }
+            text = text.replace(change[0], change[1]);
+        }
+        return text;
+    }
+
     /** Puts in addresses, and the present time for {@code ${now}}. */
     private String filled(String text) {
         String result = text.replace("${now}", Long.toString(nowUs / 1000));
--- /dev/null
+++ b/src/test/java/clovermill/reload/decide/ClassesTest.java
@@ -0,0 +1,77 @@
+package clovermill.reload.decide;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import clovermill.CacheRouter.Effect;
+import clovermill.CacheRouter.KeyScope;
+import clovermill.CacheRouter.Permissions;
+import clovermill.CacheRouter.RequestClass;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class ClassesTest {
+
+    private static final Permissions TOLD = new Permissions(true, true, true, true, true, false, 99, 1000, 0);
+
+    private static RequestClass with(Effect effect, long deadlineUs, long windowUs, long freshUs) {
+        return new RequestClass(100, 0, deadlineUs, 1, 0, effect, KeyScope.ALL, windowUs, false, false, false, freshUs,
+                0, 1);
+    }
+
+    /** Whatever comes and goes: a name never gets another number, and after the overlap the last terms are in force. */
+    @Property(tries = 200)
+    void aNameKeepsItsNumber(@ForAll @Size(max = 12) List<@Size(min = 1, max = 5) List<@IntRange(max = 7) Integer>>
+            changes) {
+        Classes classes = new Classes(List.of("c0"), List.of(with(Effect.IDEMPOTENT, 1000, 0, 0)), 8);
+        List<String> numbers = new ArrayList<>(List.of("c0"));
+        for (int i = 0; i < changes.size(); i++) {
+            List<String> names = changes.get(i).stream().distinct().map(n -> "c" + n).toList();
+            long deadlineUs = 1000 + i;
+            classes.change(names, names.stream().map(n -> with(Effect.IDEMPOTENT, deadlineUs, 0, 0)).toList(), 1 + i);
+            names.stream().filter(n -> !numbers.contains(n)).forEach(numbers::add);
+            assertThat(classes.taken()).as("dropped ones too, for now").isEqualTo(numbers);
+            assertThat(classes.terms()).hasSameSizeAs(numbers);
+            if (i % 2 == 0) {
+                classes.settle();
+                for (int n = 0; n < numbers.size(); n++) {
+                    boolean wanted = names.contains(numbers.get(n));
+                    assertThat(classes.taken().get(n)).isEqualTo(wanted ? numbers.get(n) : null);
+                    assertThat(!wanted || classes.terms().get(n).deadlineUs() == deadlineUs).isTrue();
+                }
+                assertThat(classes.bounded(TOLD).maxAttempts()).isEqualTo(1 + i);
+            }
+        }
+    }
+
+    @Test
+    void bothTheOldAndTheNewTermsBindForAWhile() {
+        Classes classes = new Classes(List.of("a", "b"), List.of(with(Effect.DEDUPLICATED, 3000, 500, 0),
+                with(Effect.IDEMPOTENT, 1000, 0, 20)), 2);
+        classes.change(List.of("b", "a"), List.of(with(Effect.AT_MOST_ONCE, 2000, 0, 0),
+                with(Effect.IDEMPOTENT, 1000, 900, 30)), 8);
+        assertThat(classes.terms().get(0)).isEqualTo(with(Effect.DEDUPLICATED, 3000, 500, 30));
+        assertThat(classes.terms().get(1)).isEqualTo(with(Effect.AT_MOST_ONCE, 2000, Long.MAX_VALUE, 20));
+        assertThat(classes.bounded(TOLD).maxAttempts()).isEqualTo(2);
+        classes.settle();
+        assertThat(classes.terms()).containsExactly(with(Effect.IDEMPOTENT, 1000, 900, 30),
+                with(Effect.AT_MOST_ONCE, 2000, 0, 0));
+        assertThat(classes.bounded(TOLD).maxAttempts()).isEqualTo(8);
+    }
+
+    @Test
+    void namesThatNeverEndAreNotTaken() {
+        List<String> many = new ArrayList<>();
+        for (int i = 0; i < 255; i++) {
+            many.add("c" + i);
+        }
+        Classes classes = new Classes(List.of("c0"), List.of(with(Effect.IDEMPOTENT, 1, 0, 0)), 1);
+        assertThat(classes.hasRoomFor(many)).isTrue();
+        many.add("one more");
+        assertThat(classes.hasRoomFor(many)).isFalse();
+    }
+}
