Two processes of one director keep within its descriptors, and the log lasts to the end

Need: while one process takes over from the other both hold connections, each up to three quarters of the limit; two at their bounds and the files of two JVMs would be 1.7 times the smallest limit (256). Seen besides: of the calls that a leaving process answered no line was in its log. Cause: the JVM's log manager takes its handlers away at SIGTERM (its cleaner hook). Change: Presence (a file a process in TMPDIR, checked against /proc) tells each of the other; Shares halves both bounds meanwhile, the longest idle connections give way. LastingLog keeps the handlers; its class must not be touched before the property is set, or the JVM's own manager comes up first (seen: the last line was lost all the same).

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -16,10 +16,11 @@
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
-import clovermill.outage.OutageFolder;
+import clovermill.outage.OutageMarks;
 import clovermill.outage.Outages;
 import clovermill.reload.Reloader;
 import clovermill.store.Volume;
+import clovermill.upgrade.Shares;
 import java.io.IOException;
 import java.nio.file.Path;
 
@@ -28,9 +29,6 @@
 
     /** Bodies may take this part of the heap; beliefs, open requests and what is read ahead share the rest. */
     private static final int BODIES_PART = 4;
-    /** Clients get half of the descriptors and members a quarter; the rest is for files and the like. */
-    private static final int CLIENTS_PART = 2;
-    private static final int MEMBERS_PART = 4;
     /** Idle connections are closed a little before the member does it, lest a request crosses that. */
     private static final double IDLE_PART = 0.8;
 
@@ -43,6 +41,9 @@
 
     private final CommandChannel channel;
     private final FrameFront front;
+    /** Null where this director never has more than one process. */
+    private final Sharing sharing;
+    /** Null where operators call nowhere. */
     private final AdminFront admin;
     private final Departure departure;
     private final Reloader reloader;
@@ -60,8 +61,9 @@
         Budget budget = new Budget(Runtime.getRuntime().maxMemory() / BODIES_PART);
         loop = new EventLoop(clock, deadlines);
         Warmup.play(settings, known);
+        Shares shares = new Shares(config.sockets());
         CachePool pool = new CachePool(loop, clock, deadlines, budget, new CachePool.Limits(
-                config.streamsPerConnection(), config.sockets() / MEMBERS_PART, settings.dialTimeoutUs(),
+                config.streamsPerConnection(), shares.members(false), settings.dialTimeoutUs(),
                 (long) (IDLE_PART * config.connectionIdleUs())));
         ledger = kept == null ? null : Ledger.open(kept, new Ledger.Director(config.name(), config.classes(),
                 settings.parentKind(), settings.originKind(), settings.allowed().maxOpen()), clock, deadlines,
@@ -74,12 +76,14 @@
         channel.start();
         long settledUs = clock.micros() + settleUs;
         front = new FrameFront(loop, clock, deadlines, budget, host, settings, config.classes(),
-                new FrameFront.Terms(config.listen(), platform.passed(), config.sockets() / CLIENTS_PART,
+                new FrameFront.Terms(config.listen(), platform.passed(), shares.clients(false),
                 () -> roster.known() && clock.micros() >= settledUs));
-        Operations operations = new Operations(roster, front, clock, deadlines,
-                platform.shared() == null ? null : new OutageFolder(platform.shared()));
-        operations.look();
-        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(operations));
+        sharing = Sharing.open(platform.shared(), shares, clock, deadlines, roster, front, pool);
+        if (sharing != null) {
+            sharing.look();
+        }
+        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(new Operations(roster,
+                front, clock, sharing == null ? OutageMarks.NONE : sharing.marks())));
         if (admin != null) {
             admin.open(platform.admin());
         }
@@ -111,6 +115,9 @@
 
     /** What is left to do after the loop has stopped. */
     void close() throws IOException {
+        if (sharing != null) {
+            sharing.close();
+        }
         if (ledger != null) {
             ledger.close();
         }
--- a/src/main/java/clovermill/Service.java
+++ b/src/main/java/clovermill/Service.java
@@ -80,6 +80,7 @@
         try {
             director.loop().run();
             director.close();
+            LOG.log(Level.INFO, "{0} has left", config.name());
             status[0] = 0;
         } finally {
             left.countDown();
--- /dev/null
+++ b/src/main/java/clovermill/Sharing.java
@@ -0,0 +1,84 @@
+package clovermill;
+
+import clovermill.cache.CachePool;
+import clovermill.channel.Roster;
+import clovermill.front.FrameFront;
+import clovermill.net.Clock;
+import clovermill.net.Deadlines;
+import clovermill.outage.OutageFolder;
+import clovermill.outage.OutageMarks;
+import clovermill.upgrade.Presence;
+import clovermill.upgrade.Shares;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+
+/**
+ * What the processes of one director have in common while one takes over from the other: the outages that operators
+ * have called for, and the descriptors. Each looks at their folder a few times a second.
+ */
+final class Sharing {
+
+    private static final System.Logger LOG = System.getLogger(Sharing.class.getName());
+    /** A fifth of the time in which nothing more may go to a cache that was taken out at the other process. */
+    private static final long LOOK_US = 100_000;
+
+    private final OutageFolder outages;
+    private final Presence presence;
+    private final Shares shares;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Roster roster;
+    private final FrameFront front;
+    private final CachePool pool;
+    private boolean besideAnother;
+
+    /** Shares by a folder; null if that is null, or, with a line in the log, if it cannot be used. */
+    static Sharing open(Path folder, Shares shares, Clock clock, Deadlines deadlines, Roster roster, FrameFront front,
+            CachePool pool) {
+        try {
+            return folder == null ? null : new Sharing(folder, shares, clock, deadlines, roster, front, pool);
+        } catch (IOException unusable) {
+            LOG.log(Level.WARNING, "TMPDIR cannot be used: the next process will not know which caches are out: {0}", unusable.toString());
+            return null;
+        }
+    }
+
+    private Sharing(Path folder, Shares shares, Clock clock, Deadlines deadlines, Roster roster, FrameFront front,
+            CachePool pool) throws IOException {
+        this.outages = new OutageFolder(folder);
+        this.presence = Presence.ofThisProcess(folder);
+        this.shares = shares;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.roster = roster;
+        this.front = front;
+        this.pool = pool;
+    }
+
+    /** Where outages are marked. */
+    OutageMarks marks() {
+        return outages;
+    }
+
+    /** Takes over what an earlier process left, and from then on what the other one marks. */
+    void look() {
+        OutageFolder.Marks marks = outages.look();
+        if (marks != null) {
+            roster.outages(marks.out(), marks.back());
+        }
+        boolean beside = presence.besideAnother();
+        if (beside != besideAnother) {
+            besideAnother = beside;
+            front.limit(shares.clients(beside));
+            pool.limit(shares.members(beside));
+            LOG.log(Level.INFO, beside ? "another process of this director is here" : "this process is alone again");
+        }
+        deadlines.add(clock.micros() + LOOK_US, this::look);
+    }
+
+    /** This process ends. */
+    void close() {
+        presence.leave();
+    }
+}
--- a/src/main/java/clovermill/cache/CachePool.java
+++ b/src/main/java/clovermill/cache/CachePool.java
@@ -39,6 +39,7 @@
     private final Budget budget;
     private final Limits limits;
     private final Map<String, Peer> peers = new HashMap<>();
+    private int bound;
     private int dialled;
     private long probes;
 
@@ -48,6 +49,19 @@
         this.deadlines = deadlines;
         this.budget = budget;
         this.limits = limits;
+        this.bound = limits.connections();
+    }
+
+    /** Has so many connections be open from now on; idle ones beyond that are closed. */
+    public void limit(int connections) {
+        bound = connections;
+        for (Peer peer : List.copyOf(peers.values())) {
+            for (CacheConnection connection : List.copyOf(peer.connections)) {
+                if (dialled > bound) {
+                    connection.closeIfIdle();
+                }
+            }
+        }
     }
 
     /** A member's address, and the connections to it. */
@@ -170,8 +184,8 @@
             }
         }
         boolean few = best != null && (dialling || best.openExchanges() < SHARED);
-        int most = Math.max(2, limits.connections() / MEMBER_PART);
-        if (few || inUse >= most || dialled >= limits.connections()) {
+        int most = Math.max(2, bound / MEMBER_PART);
+        if (few || inUse >= most || dialled >= bound) {
             return best;
         }
         loop.connect(peer.address, connection -> {
--- a/src/main/java/clovermill/cli/Main.java
+++ b/src/main/java/clovermill/cli/Main.java
@@ -35,6 +35,8 @@
     }
 
     static int serve(String settings) {
+        // Not a constant of that class: initializing it would set the JVM's own manager up before.
+        System.setProperty("java.util.logging.manager", "clovermill.settings.LastingLog");
         try {
             Service.serve(settings);
             return 0;
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -42,6 +42,7 @@
     private final Set<FrameConnection> connections = new LinkedHashSet<>();
     private final IdleConnections idle = new IdleConnections();
     private EventLoop.Listener listener;
+    private int most;
     private long awayMs;
     private boolean leaving;
 
@@ -52,6 +53,7 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.terms = terms;
+        this.most = terms.connections();
         this.reader = new RequestReader(MARGIN_US);
         this.shared = new FrameConnection.Shared(host, reader, budget, clock, deadlines, () -> awayMs, this::ready,
                 idle, this::forget);
@@ -67,7 +69,7 @@
     @Override
     public void open() throws IOException {
         if (terms.passed() == null) {
-            listener = loop.listen(terms.address(), terms.connections(), () -> idle.makeRoom(clock.micros()),
+            listener = loop.listen(terms.address(), most, () -> idle.makeRoom(clock.micros()),
                     this::accepted);
         } else {
             openWhenAble();
@@ -75,6 +77,14 @@
         sweep();
     }
 
+    /** Has so many connections be open from now on. */
+    public void limit(int connections) {
+        most = connections;
+        if (listener != null && !leaving) {
+            listener.limit(connections);
+        }
+    }
+
     /** What a director accepts before it can serve, another process on the same socket would have served. */
     private void openWhenAble() {
         if (leaving) {
@@ -85,7 +95,7 @@
             return;
         }
         try {
-            listener = loop.listenOn(terms.passed(), terms.connections(), () -> idle.makeRoom(clock.micros()),
+            listener = loop.listenOn(terms.passed(), most, () -> idle.makeRoom(clock.micros()),
                     this::accepted);
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -49,7 +49,7 @@
         private final ServerSocketChannel channel;
         private final SelectionKey key;
         private final Function<Connection, Connection.Handler> handlers;
-        private final int most;
+        private int most;
         private final Runnable makeRoom;
         private final boolean owned;
         private int accepted;
@@ -94,6 +94,15 @@
             return channel.accept();
         }
 
+        /** Has so many connections be open from now on; for those beyond it room is asked for at once. */
+        public void limit(int connections) {
+            most = connections;
+            for (int over = accepted - most; over > 0 && accepted > most; over--) {
+                makeRoom.run();
+            }
+            listen();
+        }
+
         private void given() {
             accepted--;
             listen();
--- a/src/main/java/clovermill/outage/OutageFolder.java
+++ b/src/main/java/clovermill/outage/OutageFolder.java
@@ -21,7 +21,7 @@
  * answered, and each file stands for itself, so that two processes need no lock. The folder lies in memory, and a look
  * that finds nothing new costs one call for its attributes: both may be done on the loop.
  */
-public final class OutageFolder {
+public final class OutageFolder implements OutageMarks {
 
     /** What the marks tell. */
     public record Marks(Set<String> out, Map<String, Long> back) { }
@@ -40,12 +40,13 @@
         this.folder = Files.createDirectories(folder);
     }
 
-    /** Marks a cache as out. */
+    @Override
     public void takeOut(String id) {
         write(mark(OUT, id), "");
     }
 
-    /** Marks a cache as back since a Unix millisecond; the mark of its being out goes last. */
+    /** The mark of its being out goes last. */
+    @Override
     public void putBack(String id, long nowMs) {
         write(mark(BACK, id), Long.toString(nowMs));
         try {
--- a/src/test/java/clovermill/MainTest.java
+++ b/src/test/java/clovermill/MainTest.java
@@ -1,9 +1,12 @@
 package clovermill;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import java.io.BufferedReader;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,6 +16,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -145,6 +149,76 @@
         assertThat(printed.lines()).containsExactly("clovermill: the configuration: an object was expected: settings");
     }
 
+    /**
+     * The listening socket comes as descriptor 0, as from the platform. Two processes are one director: the second
+     * takes over while clients keep coming, and the log of the first lasts to its end.
+     */
+    @Test
+    void theNextProcessTakesOverTheSocketOfDescriptorZero() throws Exception {
+        assumeTrue(Files.isExecutable(Path.of("/usr/bin/perl")), "perl hands down the socket");
+        Files.writeString(file(), config(1));
+        Path ports = folder.resolve("ports");
+        String listen = "socket(S, PF_INET, SOCK_STREAM, 0); bind(S, sockaddr_in(0, INADDR_LOOPBACK)); listen(S, 9);"
+                + "open(P, '>', $ARGV[0]); print P (sockaddr_in(getsockname(S)))[0]; close(P); open(STDIN, '<&', S);"
+                + "exec(@ARGV[1 .. $#ARGV]);";
+        String twice = "\"$@\" & one=$!; read _; \"$@\" & two=$!; read _; kill $one; wait $one; echo first $?;"
+                + " read _; kill $two; wait $two; echo second $?";
+        ProcessBuilder builder = new ProcessBuilder("/usr/bin/perl", "-MSocket", "-e", listen, ports.toString(),
+                "/bin/sh", "-c", "exec 3<&0 4<" + fifo() + "; run() { exec \"$@\" 0<&3; }; "
+                + twice.replace("\"$@\" &", "run \"$@\" &").replace("read _", "read _ 0<&4"), "sh", JAVA, "-cp",
+                System.getProperty("java.class.path"),
+                "-Djava.util.logging.SimpleFormatter.format=%4$s %5$s%6$s%n", "clovermill.cli.Main", "serve");
+        builder.environment().putAll(Map.of("BALANCER_CONFIG", file().toString(), "BALANCER_PASSED_SOCKET", "0",
+                "TMPDIR", folder.toString()));
+        builder.environment().remove("BALANCER_LISTEN");
+        Process process = builder.redirectErrorStream(true).start();
+        try (BufferedReader lines = process.inputReader();
+                OutputStream steps = new FileOutputStream(folder.resolve("steps").toFile())) {
+            assertThat(lines.readLine()).startsWith("INFO n1 serves clients on ");
+            int port = Integer.parseInt(Files.readString(ports));
+            assertThat(isReady(port)).isTrue();
+            steps.write('\n');
+            steps.flush();
+            assertThat(until(lines, "INFO n1 serves")).anyMatch(line -> line.endsWith("of this director is here"));
+            assertThat(isReady(port)).isTrue();
+            steps.write('\n');
+            steps.flush();
+            assertThat(until(lines, "first 0")).anyMatch(line -> line.endsWith("n1 has left"));
+            assertThat(isReady(port)).isTrue();
+            steps.write('\n');
+            steps.flush();
+            assertThat(lines.lines()).contains("second 0");
+        } finally {
+            process.descendants().forEach(ProcessHandle::destroyForcibly);
+            process.destroy();
+            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    private static List<String> until(BufferedReader lines, String start) throws IOException {
+        List<String> said = new ArrayList<>();
+        for (String line = ""; line != null && !line.startsWith(start); line = lines.readLine()) {
+            said.add(line);
+        }
+        return said;
+    }
+
+    private Path fifo() throws Exception {
+        Path steps = folder.resolve("steps");
+        assertThat(new ProcessBuilder("mkfifo", steps.toString()).start().waitFor()).isZero();
+        return steps;
+    }
+
+    /** Asks by frame; what is there before the director can serve waits for it. */
+    private static boolean isReady(int port) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(new byte[] {6, 0, 0, 0, 6, 1, 0, 0, 0, 0});
+            byte[] answer = socket.getInputStream().readNBytes(11);
+            return answer.length == 11 && answer[4] == 7 && answer[9] == 79;
+        }
+    }
+
     @Test
     void aDirectorThatIsAskedToStopExitsWithZero() throws Exception {
         Process process = start(config(1));
