--- a/src/main/java/clovermill/Sharing.java
+++ b/src/main/java/clovermill/Sharing.java
@@ -39,7 +39,8 @@
         try {
             return folder == null ? null : new Sharing(folder, shares, clock, deadlines, roster, front, pool);
         } catch (IOException unusable) {
-            LOG.log(Level.WARNING, "TMPDIR cannot be used: the next process will not know which caches are out: {0}", unusable.toString());
+            LOG.log(Level.WARNING, "TMPDIR cannot be used, so the next process will not know which caches are out: {0}",
+                    unusable.toString());
             return null;
         }
     }
