--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -23,6 +23,7 @@
 import clovermill.upgrade.Shares;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.function.BooleanSupplier;
 
 /** One director: its parts, wired together. */
 final class Assembly {
@@ -39,6 +40,9 @@
      */
     static final long SETTLE_US = 1_000_000;
 
+    /** How much longer than it settles a process waits for the command channel, which may be cut off. */
+    private static final long CATCH_UP_US = 1_000_000;
+
     private final CommandChannel channel;
     private final FrameFront front;
     /** Null where this director never has more than one process. */
@@ -75,9 +79,12 @@
                 config.zones(), config.kinds(), settings.dialTimeoutUs()), known.cursor(), roster::apply);
         channel.start();
         long settledUs = clock.micros() + settleUs;
+        // What the configuration knows may be as old as the process that this one takes over from.
+        BooleanSupplier caughtUp = () -> platform.passed() == null || channel.heard()
+                || clock.micros() >= settledUs + CATCH_UP_US;
         front = new FrameFront(loop, clock, deadlines, budget, host, settings, config.classes(),
                 new FrameFront.Terms(config.listen(), platform.passed(), shares.clients(false),
-                () -> roster.known() && clock.micros() >= settledUs));
+                () -> roster.known() && clock.micros() >= settledUs && caughtUp.getAsBoolean()));
         sharing = Sharing.open(platform.shared(), shares, clock, deadlines, roster, front, pool);
         if (sharing != null) {
             sharing.look();
--- a/src/main/java/clovermill/Rehearsal.java
+++ b/src/main/java/clovermill/Rehearsal.java
@@ -43,10 +43,13 @@
             String text = Files.readString(Path.of(file)).replaceAll("\"(addr|channel)\":\"[^\"]*\"",
                     "\"$1\":\"" + peers.address() + "\"");
             Config config = Config.read(text, "127.0.0.1:0");
-            Assembly director = new Assembly(config, Path.of(file), clock, 0, null, Platform.plain(config));
+            InetSocketAddress anywhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+            Assembly director = new Assembly(config, Path.of(file), clock, 0, null, new Platform(null, anywhere, null));
             Rehearsal rehearsal = new Rehearsal(director);
             InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), director.port());
             director.loop().connect(front, rehearsal.new Client()::over);
+            director.loop().connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), director.adminPort()),
+                    Operator::new);
             for (long endUs = clock.micros() + LONGEST_US; rehearsal.answered < REQUESTS && clock.micros() < endUs;) {
                 director.loop().turn(1);
                 peers.loop.turn(1);
@@ -103,6 +106,28 @@
         public void closed(IOException cause) { }
     }
 
+    /** Calls once. */
+    private record Operator(Connection connection) implements Connection.Handler {
+
+        @Override
+        public void connected() {
+            connection.send(ByteBuffer.wrap("GET /ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+        }
+
+        @Override
+        public void received(ByteBuffer data) {
+            data.position(data.limit());
+        }
+
+        @Override
+        public void ended() {
+            connection.close();
+        }
+
+        @Override
+        public void closed(IOException cause) { }
+    }
+
     /** Asks for one object after another, and for a write now and then. */
     private final class Client implements Connection.Handler {
         private Connection connection;
--- a/src/main/java/clovermill/channel/CommandChannel.java
+++ b/src/main/java/clovermill/channel/CommandChannel.java
@@ -44,6 +44,7 @@
     private Deadlines.Deadline silence;
     private Deadlines.Deadline redial;
     private long cursor;
+    private boolean heard;
     /** The first redial leaves at once: what the channel has to tell counts as told soon after a break. */
     private long redialUs;
 
@@ -74,6 +75,11 @@
         }
     }
 
+    /** Whether the channel has answered at least once. */
+    public boolean heard() {
+        return heard;
+    }
+
     /** Dials, and from then on keeps the channel up. */
     public void start() {
         listen();
@@ -127,6 +133,7 @@
             throw new ProtocolException(malformed.getMessage());
         }
         redialUs = 0;
+        heard = true;
         long quietUs = quiet.heard(clock.micros());
         if (quietUs > 0) {
             LOG.log(Level.INFO, "the command channel at {0} tells again, after {1} ms", address,
