The module knows who is taken out, and operators' sockets are served ahead of clients'

Need: that a cache is used only where list and operators both allow is the module's to decide; so far the roster told it of a draining cache. A call must be answered in time however many clients there are. Cause of what could go wrong before: a put back of a cache that was never out left a mark that made the other process take it for cold; a folder that cannot be written undid an outage at the next look (Roster.outages takes back what is not marked). Change: event Operated, Policy.takenOut; Operations catches up with the other process first and marks only changes; OutageFolder keeps what it could not mark. EventLoop.listenFirst serves its sockets first in each turn. Callers that are pushed out or close early are told. Room in the module: warmRate, a comment.

--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -89,8 +89,9 @@
         if (sharing != null) {
             sharing.look();
         }
-        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(new Operations(roster,
-                front, clock, sharing == null ? OutageMarks.NONE : sharing.marks())));
+        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(sharing == null
+                ? new Operations(roster, front, clock, OutageMarks.NONE, () -> { })
+                : new Operations(roster, front, clock, sharing.marks(), sharing::catchUp)));
         if (admin != null) {
             admin.open(platform.admin());
         }
--- a/src/main/java/clovermill/CacheRouter.java
+++ b/src/main/java/clovermill/CacheRouter.java
@@ -126,6 +126,12 @@
     /** News of the members. */
     record Members(ListScope scope, List<Member> members) implements Event { }
 
+    /**
+     * All members that operators have taken out, by id. A member is used only where both they and the list allow; what
+     * the list has of one that was taken out or put back is told once more after this.
+     */
+    record Operated(List<String> out) implements Event { }
+
     /** An object, or with a null {@code object} a whole group, was purged {@code ageUs} ago. */
     record Purge(Long object, int group, long ageUs) implements Event { }
 
--- a/src/main/java/clovermill/Operations.java
+++ b/src/main/java/clovermill/Operations.java
@@ -6,8 +6,12 @@
 import clovermill.net.Clock;
 import clovermill.outage.OutageMarks;
 
-/** What operators can have done. A call to one process counts for its whole director: it is marked first. */
-record Operations(Roster roster, Front front, Clock clock, OutageMarks marks) implements Desk.Director {
+/**
+ * What operators can have done. A call to one process counts for its whole director: what the other one was told before
+ * is taken over first, and what changes is marked before the answer.
+ */
+record Operations(Roster roster, Front front, Clock clock, OutageMarks marks, Runnable catchUp)
+        implements Desk.Director {
 
     @Override
     public boolean ready() {
@@ -16,21 +20,27 @@
 
     @Override
     public boolean takeOut(String id) {
-        boolean known = roster.knows(id);
-        if (known) {
+        catchUp.run();
+        if (!roster.knows(id)) {
+            return false;
+        }
+        if (!roster.isOut(id)) {
             marks.takeOut(id);
             roster.takeOut(id);
         }
-        return known;
+        return true;
     }
 
     @Override
     public boolean putBack(String id) {
-        boolean known = roster.knows(id);
-        if (known) {
+        catchUp.run();
+        if (!roster.knows(id)) {
+            return false;
+        }
+        if (roster.isOut(id)) {
             marks.putBack(id, clock.unixMillis());
             roster.putBack(id);
         }
-        return known;
+        return true;
     }
 }
--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -74,12 +74,13 @@
     private Settings settings;
     private final SplittableRandom random;
     private final Map<String, Node> nodes = new HashMap<>();
+    /** Members that operators have taken out, by id: they may leave the list and come back meanwhile. */
+    private List<String> takenOut = List.of();
     private final Map<String, Pending> requests = new HashMap<>();
     private final Map<Long, Pending> paused = new HashMap<>();
     /**
-     * An attempt is load until it has ended or its wanted time is over: answers that never arrive, or come
-     * from a member that hangs, must not look like transfers for seconds. That it came late is learned then,
-     * lest a jam shows only in the answers that get through. Could harm where many answers are lost.
+     * An attempt is load until it ends or its wanted time is over, lest what hangs looks like transfers; then
+     * it counts as late, lest a jam shows only in what gets through. Could harm where many answers are lost.
      */
     private final PriorityQueue<Attempt> counted = new PriorityQueue<>(Comparator.comparing(Attempt::dueUs));
     /** First attempts of requests that may be sent twice, by when their answer is overdue. */
@@ -140,6 +141,8 @@
             onGone(requests.get(gone.request()));
         } else if (event instanceof Members members) {
             onMembers(members);
+        } else if (event instanceof Operated operated) {
+            takenOut = operated.out();
         } else if (event instanceof Purge purge) {
             onPurge(purge);
         } else if (event instanceof Timer timer) {
@@ -799,7 +802,9 @@
         ColdRule rule = ruleOf(node);
         double age = Math.max(0, (now + node.creditUs) / 2.0 - node.startedUs);
         double part = rule.from() + (1 - rule.from()) * Math.min(1, age / rule.warmUs());
-        double rate = COLD_MARGIN * rule.multiple() * part * ringOf(node).warmRate() * node.weight;
+        Ring ring = ringOf(node);
+        double warmRate = ring.exposure == 0 ? 0 : ring.work / ring.exposure;
+        double rate = COLD_MARGIN * rule.multiple() * part * warmRate * node.weight;
         node.credit = Math.min(0, node.credit + rate * (now - node.creditUs));
         node.creditUs = now;
         return node.credit;
@@ -945,11 +950,6 @@
                 advancedUs = now;
             }
         }
-
-        /** Work that the warm members have served of late, per microsecond and unit of weight. */
-        double warmRate() {
-            return exposure == 0 ? 0 : work / exposure;
-        }
     }
 
     private void onMembers(Members news) {
@@ -978,7 +978,7 @@
         node.zone = member.zone();
         node.cell = member.cell();
         node.weight = member.weight() > 0 ? member.weight() : 1;
-        node.listed = member.availability() == Availability.HEALTHY;
+        node.listed = member.availability() == Availability.HEALTHY && !takenOut.contains(node.id);
         if (member.startedUs() > node.startedUs) {
             started(node, member.startedUs());
         }
--- a/src/main/java/clovermill/Sharing.java
+++ b/src/main/java/clovermill/Sharing.java
@@ -62,12 +62,17 @@
         return outages;
     }
 
-    /** Takes over what an earlier process left, and from then on what the other one marks. */
-    void look() {
+    /** Takes over which caches are out. */
+    void catchUp() {
         OutageFolder.Marks marks = outages.look();
         if (marks != null) {
             roster.outages(marks.out(), marks.back());
         }
+    }
+
+    /** Takes over what an earlier process left, and from then on what the other one marks. */
+    void look() {
+        catchUp();
         boolean beside = presence.besideAnother();
         if (beside != besideAnother) {
             besideAnother = beside;
--- a/src/main/java/clovermill/admin/AdminFront.java
+++ b/src/main/java/clovermill/admin/AdminFront.java
@@ -40,7 +40,7 @@
 
     /** Takes calls from now on, until the process ends. */
     public void open(InetSocketAddress address) throws IOException {
-        listener = loop.listen(address, MOST_CALLERS, this::makeRoom, Caller::new);
+        listener = loop.listenFirst(address, MOST_CALLERS, this::makeRoom, Caller::new);
     }
 
     /** The port that was bound. */
@@ -49,7 +49,7 @@
     }
 
     private void makeRoom() {
-        callers.iterator().next().connection.close();
+        callers.iterator().next().letGo("too many callers are connected");
     }
 
     /** One connection, and the one call that comes on it. */
@@ -110,11 +110,21 @@
             }
         }
 
-        /** A caller may close its side as soon as it has written its call. */
+        /** Gives its place to a caller that has just come. */
+        private void letGo(String reason) {
+            callers.remove(this);
+            if (answered) {
+                connection.close();
+            } else {
+                answer(new Reply(503, reason));
+            }
+        }
+
+        /** A caller may close its side as soon as it has written its call, and still read. */
         @Override
         public void ended() {
             if (!answered) {
-                connection.close();
+                answer(new Reply(400, "the call ended early"));
             }
         }
 
--- a/src/main/java/clovermill/admin/CallParser.java
+++ b/src/main/java/clovermill/admin/CallParser.java
@@ -36,7 +36,7 @@
     private static final int LARGEST_BODY = 4096;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,9}");
     private static final Pattern CHUNK_LENGTH = Pattern.compile("[0-9a-fA-F]{1,7}");
-    private static final Pattern LINE = Pattern.compile("([A-Z]+) (/[^ ?#]*)([?][^ ]*)? HTTP/1\\.[01]");
+    private static final Pattern LINE = Pattern.compile("([A-Za-z]+) +(/[^ ?#]*)([?][^ ]*)? +HTTP/1\\.[01] *");
 
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(128);
--- a/src/main/java/clovermill/channel/Roster.java
+++ b/src/main/java/clovermill/channel/Roster.java
@@ -4,6 +4,7 @@
 import clovermill.CacheRouter.ListScope;
 import clovermill.CacheRouter.Member;
 import clovermill.CacheRouter.Members;
+import clovermill.CacheRouter.Operated;
 import clovermill.CacheRouter.Purge;
 import clovermill.cache.CachePool;
 import clovermill.channel.Commands.Entry;
@@ -54,6 +55,11 @@
         return caches.containsKey(id);
     }
 
+    /** Whether a cache is out. */
+    public boolean isOut(String id) {
+        return outages.isOut(id);
+    }
+
     /** From now on nothing more goes to that cache or is filled from it, until it is put back. */
     public void takeOut(String id) {
         if (outages.takeOut(id)) {
@@ -83,6 +89,7 @@
     }
 
     private void changed(String id) {
+        host.tell(new Operated(List.copyOf(outages.allOut())));
         Entry entry = listed.get(id);
         if (entry != null) {
             host.tell(new Members(ListScope.CHANGES, List.of(member(entry))));
@@ -144,7 +151,7 @@
             if (entry.member().kind() != originKind) {
                 caches.put(id, true);
             }
-            if (counted(entry) == Availability.HEALTHY) {
+            if (entry.member().availability() == Availability.HEALTHY && !outages.isOut(id)) {
                 unfit.remove(id);
             } else {
                 unfit.add(id);
@@ -174,18 +181,14 @@
         }
     }
 
-    private Availability counted(Entry entry) {
-        return outages.counted(entry.member().id(), entry.member().availability());
-    }
-
     /** The member on the module's clock, on which 0 means that it started long ago. */
     private Member member(Entry entry) {
         Member known = entry.member();
         long startedMs = outages.startedMs(known.id(), entry.startedMs());
         long startedUs = startedMs <= 0 ? 0
                 : Math.max(1, clock.micros() - (clock.unixMillis() - startedMs) * 1000);
-        return new Member(known.id(), known.zone(), known.kind(), known.cell(), counted(entry), known.weight(),
-                startedUs);
+        return new Member(known.id(), known.zone(), known.kind(), known.cell(), known.availability(),
+                known.weight(), startedUs);
     }
 
     private void purge(Commands.Drop drop) {
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -33,6 +33,7 @@
     private final Selector selector;
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
     private final ByteBuffer writeBuffer = ByteBuffer.allocateDirect(WRITE_BYTES);
+    private final List<SelectionKey> later = new ArrayList<>();
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private List<Connection> dirty = new ArrayList<>();
     private List<Connection> soon = new ArrayList<>();
@@ -52,12 +53,14 @@
         private int most;
         private final Runnable makeRoom;
         private final boolean owned;
+        private final boolean first;
         private int accepted;
 
-        private Listener(ServerSocketChannel channel, boolean owned, int most, Runnable makeRoom,
+        private Listener(ServerSocketChannel channel, boolean owned, boolean first, int most, Runnable makeRoom,
                 Function<Connection, Connection.Handler> handlers) throws IOException {
             this.channel = channel;
             this.owned = owned;
+            this.first = first;
             this.most = most;
             this.makeRoom = makeRoom;
             this.handlers = handlers;
@@ -134,12 +137,23 @@
      */
     public Listener listen(InetSocketAddress address, int most, Runnable makeRoom,
             Function<Connection, Connection.Handler> handlers) throws IOException {
+        return listen(address, false, most, makeRoom, handlers);
+    }
+
+    /** As {@link #listen}; its connections are served ahead of all others in each turn, however many those are. */
+    public Listener listenFirst(InetSocketAddress address, int most, Runnable makeRoom,
+            Function<Connection, Connection.Handler> handlers) throws IOException {
+        return listen(address, true, most, makeRoom, handlers);
+    }
+
+    private Listener listen(InetSocketAddress address, boolean first, int most, Runnable makeRoom,
+            Function<Connection, Connection.Handler> handlers) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             channel.bind(address, BACKLOG);
-            return new Listener(channel, true, most, makeRoom, handlers);
+            return new Listener(channel, true, first, most, makeRoom, handlers);
         } catch (IOException | RuntimeException failure) {
             quietly(channel);
             throw failure;
@@ -150,7 +164,7 @@
     public Listener listenOn(ServerSocketChannel passed, int most, Runnable makeRoom,
             Function<Connection, Connection.Handler> handlers) throws IOException {
         passed.configureBlocking(false);
-        return new Listener(passed, false, most, makeRoom, handlers);
+        return new Listener(passed, false, false, most, makeRoom, handlers);
     }
 
     /** Dials; the handler hears of the result. A dial that fails at once throws. */
@@ -212,6 +226,10 @@
         } else {
             selector.select(this::dispatch, waitMs == Long.MAX_VALUE ? 0 : waitMs);
         }
+        for (SelectionKey key : later) {
+            serve(key);
+        }
+        later.clear();
         for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
             guarded(task);
         }
@@ -228,7 +246,20 @@
         }
     }
 
+    /** Serves what comes first at once, and keeps the rest for the end of the selection. */
     private void dispatch(SelectionKey key) {
+        Listener from = key.attachment() instanceof Listener listener ? listener : ((Attachment) key.attachment()).from;
+        if (from != null && from.first) {
+            serve(key);
+        } else {
+            later.add(key);
+        }
+    }
+
+    private static void serve(SelectionKey key) {
+        if (!key.isValid()) {
+            return; // given back by a callback that came before
+        }
         if (key.attachment() instanceof Listener listener) {
             guarded(listener::accept);
         } else if (key.attachment() instanceof Attachment attachment) {
--- a/src/main/java/clovermill/outage/OutageFolder.java
+++ b/src/main/java/clovermill/outage/OutageFolder.java
@@ -33,6 +33,8 @@
     private static final long COARSE_MS = 50;
 
     private final Path folder;
+    /** What could not be marked, a full or read-only folder being the cause: true for out. It holds in this process. */
+    private final Map<String, Boolean> unmarked = new HashMap<>();
     private long readMs;
 
     /** Makes the folder if need be; throws what the file system says where that fails. */
@@ -42,27 +44,38 @@
 
     @Override
     public void takeOut(String id) {
-        write(mark(OUT, id), "");
+        note(id, write(mark(OUT, id), ""), true);
+    }
+
+    private void note(String id, boolean marked, boolean out) {
+        unmarked.remove(id);
+        if (!marked) {
+            unmarked.put(id, out);
+        }
     }
 
     /** The mark of its being out goes last. */
     @Override
     public void putBack(String id, long nowMs) {
-        write(mark(BACK, id), Long.toString(nowMs));
+        boolean marked = write(mark(BACK, id), Long.toString(nowMs));
         try {
             Files.deleteIfExists(mark(OUT, id));
         } catch (IOException failure) {
             warn(failure);
+            marked = false;
         }
+        note(id, marked, false);
     }
 
-    private void write(Path mark, String text) {
+    private boolean write(Path mark, String text) {
         Path whole = folder.resolve("new-" + ProcessHandle.current().pid());
         try {
             Files.writeString(whole, text);
             Files.move(whole, mark, StandardCopyOption.ATOMIC_MOVE);
+            return true;
         } catch (IOException failure) {
             warn(failure);
+            return false;
         }
     }
 
@@ -86,6 +99,12 @@
                     }
                 }
             }
+            unmarked.forEach((id, isOut) -> {
+                out.remove(id);
+                if (isOut) {
+                    out.add(id);
+                }
+            });
             return new Marks(out, back);
         } catch (IOException | IllegalArgumentException failure) {
             warn(failure);
--- a/src/main/java/clovermill/outage/Outages.java
+++ b/src/main/java/clovermill/outage/Outages.java
@@ -1,14 +1,13 @@
 package clovermill.outage;
 
-import clovermill.CacheRouter.Availability;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * Which caches are out by the word of operators, and since when those that came back have been back. While one is
- * out it counts as draining whatever the list says; one that is gone stays gone. Reads no clock and does no I/O.
+ * Which caches are out by the word of operators, and since when those that came back have been back; what that means
+ * the module decides. Reads no clock and does no I/O.
  */
 public final class Outages {
 
@@ -53,11 +52,6 @@
         return Set.copyOf(out);
     }
 
-    /** What a cache counts as that the list tells to be {@code told}. */
-    public Availability counted(String id, Availability told) {
-        return told == Availability.HEALTHY && out.contains(id) ? Availability.DRAINING : told;
-    }
-
     /**
      * The Unix millisecond from which a cache counts as started, 0 for long ago: it is restarted while it is out, and
      * the list may tell that late or not at all.
