The earlier process leaves new connections to one that is ready; a proof of many upgrades

Change: Presence says who is ready and started later; the earlier one stops accepting within 100 ms and starts again if that one ends before SIGTERM. A broken file is told by file, member and reason, a member of another type is one (Shape); what changes at the next start only is named.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The flags that keep the whole process within 192 MB stand in the deploy file's run command.
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run run-ledger toy clean prove-ledger
+.PHONY: build test lint run run-ledger toy clean prove-ledger prove-upgrade
 
 build:
 	sh deploy/build.sh
@@ -25,6 +25,11 @@
 	mvn -B -ntp -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java -Xmx2g $(PROVE) -cp target/test-classes:target/classes:$$(cat target/test.classpath) clovermill.prove.LedgerProof
 
+# Some three minutes: forty upgrades under load, on one socket, processes killed among them. Needs perl.
+prove-upgrade:
+	mvn -B -ntp -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java $(PROVE) -cp target/test-classes:target/classes:$$(cat target/test.classpath) clovermill.prove.UpgradeProof
+
 toy:
 	java example/ToyServer.java
 
--- a/src/main/java/clovermill/Retuning.java
+++ b/src/main/java/clovermill/Retuning.java
@@ -10,6 +10,7 @@
 import clovermill.net.Deadlines;
 import clovermill.reload.decide.Classes;
 import java.lang.System.Logger.Level;
+import java.util.Objects;
 
 /** Hands a new configuration to the parts that it concerns, while requests are in flight. */
 final class Retuning {
@@ -47,6 +48,10 @@
             throw new Json.Malformed("settings.request-classes: more names than one process can tell apart");
         }
         channel.move(next.channel());
+        if (!next.listen().equals(inForce.listen()) || next.sockets() != inForce.sockets()
+                || !Objects.equals(next.admin(), inForce.admin())) {
+            LOG.log(Level.WARNING, "listen, admin and limits change at this director's next start only");
+        }
         if (next.settings().equals(inForce.settings()) && next.classes().equals(inForce.classes())) {
             return;
         }
--- a/src/main/java/clovermill/Sharing.java
+++ b/src/main/java/clovermill/Sharing.java
@@ -31,7 +31,8 @@
     private final Roster roster;
     private final FrameFront front;
     private final CachePool pool;
-    private boolean besideAnother;
+    private Presence.Others others = Presence.Others.NONE;
+    private boolean saidReady;
 
     /** Shares by a folder; null if that is null, or, with a line in the log, if it cannot be used. */
     static Sharing open(Path folder, Shares shares, Clock clock, Deadlines deadlines, Roster roster, FrameFront front,
@@ -73,12 +74,23 @@
     /** Takes over what an earlier process left, and from then on what the other one marks. */
     void look() {
         catchUp();
-        boolean beside = presence.besideAnother();
-        if (beside != besideAnother) {
-            besideAnother = beside;
+        if (!saidReady && front.ready()) {
+            saidReady = true;
+            presence.ready();
+        }
+        Presence.Others now = presence.look();
+        if (now != others) {
+            others = now;
+            boolean beside = now != Presence.Others.NONE;
             front.limit(shares.clients(beside));
             pool.limit(shares.members(beside));
-            LOG.log(Level.INFO, beside ? "another process of this director is here" : "this process is alone again");
+            // Of a successor that ends before this process is asked to leave, the connections come here again.
+            front.accepting(now != Presence.Others.SUCCESSOR);
+            LOG.log(Level.INFO, switch (now) {
+                case NONE -> "this process is alone again";
+                case BESIDE -> "another process of this director is here";
+                case SUCCESSOR -> "the next process of this director is ready and takes new connections";
+            });
         }
         deadlines.add(clock.micros() + LOOK_US, this::look);
     }
--- a/src/main/java/clovermill/config/Shape.java
+++ b/src/main/java/clovermill/config/Shape.java
@@ -1,32 +1,31 @@
 package clovermill.config;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 
 /**
- * Which members a configuration has: those of its objects by path, and those that all of its classes of requests have.
- * A later one that lacks any of them is incomplete, even where the value would have a default at a start.
+ * Which members a configuration has, and of what type: those of its objects by path, and those that all of its classes
+ * of requests have. A later one that lacks any of them is incomplete, even where the value would have a default at a
+ * start, and one that has another type in its place cannot be meant.
  */
-record Shape(Set<String> paths, Set<String> ofEachClass) {
+record Shape(Map<String, String> paths, Map<String, String> ofEachClass) {
 
     private static final String CLASSES = "settings.request-classes";
 
     /** The shape of a whole configuration; members that are null count as missing. */
     static Shape of(Map<?, ?> root) {
-        Set<String> paths = new TreeSet<>();
+        Map<String, String> paths = new TreeMap<>();
         collect("", root, paths);
         return new Shape(paths, common(classes(root)));
     }
 
-    private static void collect(String path, Map<?, ?> object, Set<String> paths) {
+    private static void collect(String path, Map<?, ?> object, Map<String, String> paths) {
         object.forEach((name, value) -> {
             String at = path.isEmpty() ? "" + name : path + "." + name;
             if (value != null) {
-                paths.add(at);
+                paths.put(at, type(value));
             }
             if (value instanceof Map<?, ?> inner) {
                 collect(at, inner, paths);
@@ -34,6 +33,11 @@
         });
     }
 
+    private static String type(Object value) {
+        return value instanceof Map ? "an object" : value instanceof List ? "a list" : value instanceof Double
+                ? "a number" : value instanceof Boolean ? "true or false" : "a string";
+    }
+
     private static List<Map<?, ?>> classes(Map<?, ?> root) {
         List<Map<?, ?>> result = new ArrayList<>();
         if (root.get("settings") instanceof Map<?, ?> settings
@@ -47,30 +51,34 @@
         return result;
     }
 
-    private static Set<String> common(List<Map<?, ?>> classes) {
-        Set<String> result = new TreeSet<>();
+    /** What all classes have of the same type. */
+    private static Map<String, String> common(List<Map<?, ?>> classes) {
+        Map<String, String> result = new TreeMap<>();
         for (int i = 0; i < classes.size(); i++) {
-            Set<String> names = new HashSet<>();
-            collect("", classes.get(i), names);
+            Map<String, String> members = new TreeMap<>();
+            collect("", classes.get(i), members);
             if (i == 0) {
-                result.addAll(names);
+                result.putAll(members);
             } else {
-                result.retainAll(names);
+                result.entrySet().retainAll(members.entrySet());
             }
         }
         return result;
     }
 
-    /** @throws Json.Malformed naming the first member that {@code next} lacks */
+    /** @throws Json.Malformed naming the first member that {@code next} lacks, or has with another type */
     void check(Shape next) throws Json.Malformed {
-        lacks("", paths, next.paths);
-        lacks(CLASSES + ".", ofEachClass, next.ofEachClass);
+        check("", paths, next.paths);
+        check(CLASSES + ".", ofEachClass, next.ofEachClass);
     }
 
-    private static void lacks(String at, Set<String> needed, Set<String> present) throws Json.Malformed {
-        for (String path : needed) {
-            if (!present.contains(path)) {
-                throw new Json.Malformed(at + path + ": missing");
+    private static void check(String at, Map<String, String> needed, Map<String, String> present)
+            throws Json.Malformed {
+        for (Map.Entry<String, String> member : needed.entrySet()) {
+            String type = present.get(member.getKey());
+            if (!member.getValue().equals(type)) {
+                throw new Json.Malformed(at + member.getKey() + ": "
+                        + (type == null ? "missing" : member.getValue() + " was expected"));
             }
         }
     }
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -77,6 +77,13 @@
         sweep();
     }
 
+    /** Whether new connections are taken here, or left to another process on the same socket. */
+    public void accepting(boolean taken) {
+        if (listener != null) {
+            listener.accepting(taken);
+        }
+    }
+
     /** Has so many connections be open from now on. */
     public void limit(int connections) {
         most = connections;
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -54,6 +54,7 @@
         private final Runnable makeRoom;
         private final boolean owned;
         private final boolean first;
+        private boolean accepting = true;
         private int accepted;
 
         private Listener(ServerSocketChannel channel, boolean owned, boolean first, int most, Runnable makeRoom,
@@ -72,6 +73,9 @@
         }
 
         private void accept() {
+            if (!accepting) {
+                return; // found ready in the same turn in which that was said
+            }
             try {
                 SocketChannel peer = next();
                 for (int i = 1; peer != null; i++) {
@@ -111,8 +115,18 @@
             listen();
         }
 
+        /** Whether connections are accepted; those that wait are left to whoever else accepts from this socket. */
+        public void accepting(boolean taken) {
+            accepting = taken;
+            if (taken) {
+                listen();
+            } else if (key.isValid()) {
+                key.interestOps(0);
+            }
+        }
+
         private void listen() {
-            if (key.isValid()) {
+            if (accepting && key.isValid()) {
                 key.interestOps(SelectionKey.OP_ACCEPT);
             }
         }
--- a/src/main/java/clovermill/reload/Reloader.java
+++ b/src/main/java/clovermill/reload/Reloader.java
@@ -77,7 +77,7 @@
                 warn(bad.getMessage());
             }
         } else if (seen == null) {
-            warn("there is no file " + file);
+            warn("there is no such file");
         }
         if (clock.micros() + LOOK_US <= untilUs) {
             next = deadlines.add(clock.micros() + LOOK_US, this::look);
@@ -86,7 +86,7 @@
 
     private void warn(String reason) {
         if (watch.warns()) {
-            LOG.log(Level.WARNING, "the new configuration is not used: {0}", reason);
+            LOG.log(Level.WARNING, "the new configuration is not used: {0}: {1}", file, reason);
         }
     }
 
--- a/src/test/java/clovermill/Scenario.java
+++ b/src/test/java/clovermill/Scenario.java
@@ -39,7 +39,7 @@
  * send op PUT /path BODY                      an operator's call at admin; names start with op, and those that end
  *                                             in -previous call the earlier process
  * expect op 200 | text                        its answer
- * send director BESIDE                        another process of it is there, which does nothing
+ * send director BESIDE TEXT                   another process of it is there, with that in its file; ALONE: no more
  * start director MS                           one more process beside the present one, which serves after so long;
  *                                             "director" is the earlier one from then on, until it has stopped
  * expect c1 served 1 etag=t | bytes           also refused, failed, leaving, ready, unready; nothing; closed,
@@ -183,7 +183,8 @@
         String[] parts = what.split(" ", 2);
         switch (parts[0]) {
             case "TERM" -> (previous != null ? previous : director).leave();
-            case "BESIDE" -> Files.writeString(folder.resolve("shared").resolve("here-1"), "");
+            case "BESIDE" -> Files.writeString(folder.resolve("shared").resolve("here-1"), parts[1]);
+            case "ALONE" -> Files.delete(folder.resolve("shared").resolve("here-1"));
             case "DEAF" -> director.reloader().watchAlways();
             default -> {
                 if (parts[1].equals("-")) {
--- a/src/test/java/clovermill/prove/Load.java
+++ b/src/test/java/clovermill/prove/Load.java
@@ -21,8 +21,9 @@
 
 /**
  * Clients of one director: so many requests a second whatever it answers, over a few connections that are dialled
- * again when they break. Counts every byte of a body that arrives, also of answers that break off, and times each
- * answer from the moment at which its request was due (so that waiting in a queue counts).
+ * again when they break, or when the director says that it leaves; the old one is closed once all is answered.
+ * Counts every byte of a body that arrives, also of answers that break off, and times each answer from the moment at
+ * which its request was due (so that waiting in a queue counts).
  */
 final class Load {
 
@@ -39,10 +40,16 @@
     private final Thread thread;
     private final long startUs = clock.micros();
     private long due;
+    private boolean draining;
     /** Read after {@link #close} only. */
     final Histogram latencyUs = new Histogram(60_000_000L, 3);
     volatile long bodyBytes;
+    volatile long asked;
     volatile long answered;
+    /** Requests whose connection ended without an answer, answers to nothing that was open, dials that failed. */
+    volatile long lost;
+    volatile long twice;
+    volatile long unreached;
     volatile long served;
 
     Load(int port, int perSecond, long seed) throws IOException {
@@ -69,31 +76,44 @@
 
     private void tick() {
         long nowUs = clock.micros();
-        for (long until = (long) ((nowUs - startUs) * perUs); due < until; due++) {
+        for (long until = (long) ((nowUs - startUs) * perUs); !draining && due < until; due++) {
             clients.get((int) (due % CONNECTIONS)).ask(startUs + (long) (due / perUs));
         }
         deadlines.add(nowUs + TICK_US, this::tick);
     }
 
-    private final class Client implements Connection.Handler {
+    /** Asks on its present connection. */
+    private final class Client {
+        private Link present;
+
+        void dial() {
+            present = new Link(this);
+            try {
+                present.connection = loop.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                        c -> present);
+            } catch (IOException failure) {
+                unreached++;
+                deadlines.add(clock.micros() + 20_000, this::dial);
+            }
+        }
+
+        void ask(long dueUs) {
+            present.ask(dueUs);
+        }
+    }
+
+    private final class Link implements Connection.Handler {
+        private final Client client;
         private final Map<Integer, Long> open = new HashMap<>();
         private Connection connection;
         private boolean up;
+        private boolean told;
         private int stream;
         private byte[] kept = {};
         private long partial;
 
-        void dial() {
-            up = false;
-            open.clear();
-            stream = 0;
-            kept = new byte[0];
-            partial = 0;
-            try {
-                connection = loop.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), c -> this);
-            } catch (IOException failure) {
-                deadlines.add(clock.micros() + 20_000, this::dial);
-            }
+        Link(Client client) {
+            this.client = client;
         }
 
         @Override
@@ -118,6 +138,7 @@
             if (order) {
                 fields.put("once", String.format("%016x", random.nextLong()));
             }
+            asked++;
             open.put(++stream, dueUs);
             ByteBuffer frame = ByteBuffer.allocate(1024).order(ByteOrder.LITTLE_ENDIAN).position(4);
             frame.put((byte) 0).putInt(stream).put((byte) fields.size());
@@ -168,17 +189,28 @@
 
         private void frame(ByteBuffer frame) {
             byte type = frame.get(0);
-            int number = frame.getInt(1);
-            byte code = frame.get(5);
-            Long dueUs = type == 1 ? open.remove(number) : null;
+            if (type == 9 && !told) {
+                told = true;
+                client.dial();
+            }
+            if (type == 1) {
+                answer(frame);
+            }
+            if (told && open.isEmpty()) {
+                connection.close();
+            }
+        }
+
+        private void answer(ByteBuffer frame) {
+            Long dueUs = open.remove(frame.getInt(1));
             if (dueUs != null) {
                 answered++;
-                served += code == 79 ? 1 : 0;
+                served += frame.get(5) == 79 ? 1 : 0;
                 latencyUs.recordValue(Math.max(1, Math.min(60_000_000L, clock.micros() - dueUs)));
+            } else {
+                twice++;
             }
-            if (type == 1) {
-                bodyBytes += body(frame) - partial;
-            }
+            bodyBytes += body(frame) - partial;
         }
 
         @Override
@@ -188,7 +220,19 @@
 
         @Override
         public void closed(IOException cause) {
-            deadlines.add(clock.micros() + 20_000, this::dial);
+            lost += open.size();
+            unreached += up ? 0 : 1;
+            if (!told) {
+                deadlines.add(clock.micros() + 20_000, client::dial);
+            }
+        }
+    }
+
+    /** Asks for nothing more; returns once all is answered or so much time has passed. */
+    void drain(long mostMs) throws InterruptedException {
+        loop.post(() -> draining = true);
+        for (long i = 0; i < mostMs && asked > answered + lost; i += 10) {
+            Thread.sleep(10);
         }
     }
 
