--- /dev/null
+++ b/src/test/java/clovermill/net/FirstServedTest.java
@@ -0,0 +1,66 @@
+package clovermill.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+
+/** A caller that is served first is heard before all clients of a turn, though it came last. */
+class FirstServedTest {
+
+    private static final int CLIENTS = 30;
+    private final List<String> heard = new ArrayList<>();
+
+    private Function<Connection, Connection.Handler> named(String name) {
+        return connection -> new Connection.Handler() {
+            @Override
+            public void received(ByteBuffer data) {
+                data.position(data.limit());
+                heard.add(name);
+            }
+
+            @Override
+            public void ended() { }
+
+            @Override
+            public void closed(IOException cause) { }
+        };
+    }
+
+    @Test
+    void whoIsServedFirstIsHeardFirstInEachTurn() throws Exception {
+        EventLoop loop = new EventLoop(Clock.system(), new Deadlines());
+        InetSocketAddress anywhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (EventLoop.Listener usual = loop.listen(anywhere, 100, () -> { }, named("client"));
+                EventLoop.Listener first = loop.listenFirst(anywhere, 100, () -> { }, named("first"))) {
+            List<SocketChannel> all = new ArrayList<>();
+            for (int i = 0; i <= CLIENTS; i++) {
+                all.add(SocketChannel.open(new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                        i < CLIENTS ? usual.port() : first.port())));
+            }
+            for (int i = 0; i < 10; i++) {
+                loop.turn(10);
+            }
+            for (int round = 1; round <= 3; round++) {
+                heard.clear();
+                for (SocketChannel each : all) {
+                    each.write(ByteBuffer.wrap(new byte[] {1}));
+                }
+                for (int i = 0; i < 100 && heard.size() <= CLIENTS; i++) {
+                    loop.turn(10);
+                }
+                assertThat(heard).as("round %d", round).hasSize(CLIENTS + 1).startsWith("first");
+            }
+            for (SocketChannel each : all) {
+                each.close();
+            }
+        }
+    }
+}
