--- a/src/main/java/clovermill/admin/AdminFront.java
+++ b/src/main/java/clovermill/admin/AdminFront.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 /** Listens where operators call, reads each connection's one call and writes its answer. */
@@ -24,6 +25,11 @@
     /** So many callers may be connected; for a further one the caller that has been silent longest gives way. */
     private static final int MOST_CALLERS = 16;
 
+    /** RFC 9110, 15. */
+    private static final Map<Integer, String> PHRASES = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found",
+            405, "Method Not Allowed", 408, "Request Timeout", 413, "Content Too Large",
+            431, "Request Header Fields Too Large", 501, "Not Implemented", 503, "Service Unavailable");
+
     private final EventLoop loop;
     private final Clock clock;
     private final Deadlines deadlines;
@@ -90,7 +96,7 @@
         private void answer(Reply reply) {
             answered = true;
             String body = reply.reason() + "\n";
-            say("HTTP/1.1 " + reply.status() + " " + (reply.status() < 300 ? "OK" : "No")
+            say("HTTP/1.1 " + reply.status() + " " + PHRASES.getOrDefault(reply.status(), "Error")
                     + (reply.allow() == null ? "" : "\r\nAllow: " + reply.allow())
                     + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "
                     + body.getBytes(StandardCharsets.UTF_8).length + "\r\nConnection: close\r\n\r\n" + body);
