A copy that is called off in the turn in which it would go out is never sent

Checked and ruled out: the two processes (no client sent anything again, no connection was closed on a request, the old one ends with nothing unanswered); attempts after the end (Host.send refuses them); queued ones (giveUp takes them back). Cause: the order of writing within a turn. An answer puts the client's connection on the list of those to be flushed; behind it, in what one read brought, the event of that answer has another request found overdue, and its copy is handed to a hub's connection (CacheConnection.send -> begin); behind that its own answer is read, and the client's connection, first in the list, is written first, with both. The copy and its never_mind follow. The more is read in one turn (a starting process, a burst) the likelier. Change: requests begin when their connection is flushed (Handler.flushing), so that what is called off before has proof that nothing went out. A time-out in that very turn speaks against no member (Exchange.heldHere). A connection that was paused earlier in the turn is not read any more.

--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -52,6 +52,11 @@
             this.ending = ending;
         }
 
+        @Override
+        public boolean heldHere() {
+            return !begun && connected && connection.queuedBytes() == 0;
+        }
+
         @Override
         public boolean giveUp() {
             if (open.remove(id, this)) {
@@ -138,7 +143,7 @@
         waiting.add(exchange);
         // Guards the drain and purge rules: what could not be begun in a dial's time must not go out later.
         exchange.beginBy = pool.dialDeadline(() -> withdraw(exchange));
-        begin();
+        connection.flushSoon();
         return exchange;
     }
 
@@ -196,15 +201,25 @@
     public void connected() {
         pool.cancel(dialOrIdle);
         connected = true;
-        begin();
         settled();
     }
 
+    /**
+     * Requests begin only now: one that is called off in the turn in which it came, because another answer was read
+     * behind it, would else be written after that answer.
+     */
     @Override
-    public void flushed() {
+    public void flushing() {
         begin();
     }
 
+    @Override
+    public void flushed() {
+        if (!waiting.isEmpty()) {
+            connection.flushSoon();
+        }
+    }
+
     @Override
     public void received(ByteBuffer data) throws IOException {
         heardUs = pool.now();
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -172,8 +172,9 @@
          * that withdraw hundreds at once must not make all members look dead.
          */
         void giveUp(Result result) {
+            boolean heldHere = exchange.heldHere();
             boolean mayHaveRun = exchange.giveUp();
-            Result unsent = result == Result.TIMED_OUT ? Result.UNCONNECTED : Result.NOT_SENT;
+            Result unsent = result == Result.TIMED_OUT && !heldHere ? Result.UNCONNECTED : Result.NOT_SENT;
             ended(mayHaveRun ? result : unsent, Note.NONE, 0, null);
         }
     }
--- a/src/main/java/clovermill/host/Upstream.java
+++ b/src/main/java/clovermill/host/Upstream.java
@@ -28,6 +28,11 @@
          * that nothing of it was sent.
          */
         boolean giveUp();
+
+        /** Whether it only waits for the end of this turn, which speaks against no member. */
+        default boolean heldHere() {
+            return false;
+        }
     }
 
     /** Sends an attempt; the ending may be told before this returns. */
--- a/src/main/java/clovermill/net/Connection.java
+++ b/src/main/java/clovermill/net/Connection.java
@@ -27,6 +27,9 @@
         /** The peer sends no more; it may still read. */
         void ended();
 
+        /** What was sent is about to be written: the last moment for what may still be called off in this turn. */
+        default void flushing() { }
+
         /** All that was sent has been written to the socket. */
         default void flushed() { }
 
@@ -114,6 +117,11 @@
         }
     }
 
+    /** Has {@link Handler#flushing} called at the end of this turn. */
+    public void flushSoon() {
+        markDirty();
+    }
+
     /** Closes as soon as all that was sent is written. */
     public void closeWhenFlushed() {
         closeWhenFlushed = true;
@@ -165,7 +173,7 @@
                 markDirty();
                 handler.connected();
             }
-            if (open && key.isReadable()) {
+            if (open && !paused && key.isReadable()) {
                 read();
             }
             if (open && key.isWritable()) {
@@ -217,11 +225,13 @@
 
     /** Writes what the socket takes, a bounded part of it in one turn. */
     void flush() {
-        dirty = false;
         if (!open || connecting) {
+            dirty = false;
             return;
         }
         try {
+            handler.flushing();
+            dirty = false;
             boolean wrote = !out.isEmpty();
             for (int turn = 0; turn < TURN_BYTES && !out.isEmpty();) {
                 ByteBuffer buffer = loop.writeBuffer().clear();
