--- a/src/main/java/clovermill/Platform.java
+++ b/src/main/java/clovermill/Platform.java
@@ -16,11 +16,6 @@
  */
 record Platform(ServerSocketChannel passed, InetSocketAddress admin, Path shared) {
 
-    /** A platform that gives nothing but what the configuration says. */
-    static Platform plain(Config config) {
-        return new Platform(null, config.admin(), null);
-    }
-
     /** What the variables of the environment tell; the names stand in the operators' page on upgrades. */
     static Platform read(Map<String, String> environment, Config config) throws IOException, Json.Malformed {
         ServerSocketChannel passed = PassedSocket.take(environment.get(PassedSocket.VARIABLE));
--- a/src/test/java/clovermill/LayersTest.java
+++ b/src/test/java/clovermill/LayersTest.java
@@ -32,14 +32,16 @@
         noClasses().that().resideInAnyPackage("clovermill.net..", "clovermill.store..").should().dependOnClassesThat()
                 .resideInAnyPackage("clovermill", "clovermill.host..", "clovermill.front..", "clovermill.cache..",
                 "clovermill.channel..", "clovermill.ledger..", "clovermill.cli..", "clovermill.settings..",
-                "clovermill.reload..").check(CLASSES);
+                "clovermill.reload..", "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..")
+                .check(CLASSES);
     }
 
     @Test
     void theCoreKnowsNoFrontAndNoSubsystem() {
         noClasses().that().resideInAPackage("clovermill.host..").should().dependOnClassesThat().resideInAnyPackage(
                 "clovermill.front..", "clovermill.cache..", "clovermill.channel..", "clovermill.ledger..",
-                "clovermill.cli..", "clovermill.settings..", "clovermill.reload..", "clovermill.store..")
+                "clovermill.cli..", "clovermill.settings..", "clovermill.reload..", "clovermill.store..",
+                "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..")
                 .check(CLASSES);
     }
 
@@ -51,7 +53,9 @@
 
     @Test
     void subsystemsDoNotKnowOneAnother() {
-        slices().matching("clovermill.(front|ledger|reload|channel|cache)..").should().notDependOnEachOther()
+        slices().matching("clovermill.(front|ledger|reload|channel|cache|admin|outage|upgrade)..").should()
+                .notDependOnEachOther()
+                .ignoreDependency(clovermill.channel.Roster.class, clovermill.outage.Outages.class)
                 .ignoreDependency(clovermill.channel.Roster.class, clovermill.cache.CachePool.class).check(CLASSES);
     }
 }
