An error of a fill without a note speaks first against the hub it came from

Answers of this site tell hits only, so an error has no note, and Policy.blame took a source for suspect only where nothing at all is told (telling NONE). Each request erred twice with the same hub and was refused, as two errors were held for the request's fault. Ruled out: the caches (their hits and other fills were served), the origin (the other hub's fills came), the channel (the list came late, not wrong). Change: without a cause told, the first error of a request that is expected to be a fill speaks against its source, a second one (by another hub) against the cache, and each only once another attempt has served the request; three errors, not two, are then the request's own fault.

--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -433,7 +433,7 @@
         }
         if (outcome.note() == Note.SOURCE_LACKS && parents.members.contains(attempt.choice.source)
                 || outcome.result() == Result.MISS && attempt.choice.source == attempt.choice.target
-                || pending.erred.size() > 1) {
+                || pending.erred.size() > (settings.telling() == Telling.ALL ? 1 : 2)) {
             end(pending);
         } else if (pending.sent > 1 || outcome.note() == Note.ORIGIN_FAILED) {
             pause(pending);
@@ -664,14 +664,16 @@
         return random.nextDouble() < originInVain * Math.exp(-(now - originUs) / SPAN_US);
     }
 
-    /** Blames what failed by the note; where none is told, an expected fill's source or the link. */
+    /** Blames what failed by the note; where none is told, a fill's source, then the cache, or the link. */
     private void blame(Pending pending, Attempt attempt, Outcome outcome) {
         Node cache = attempt.choice.target;
         Node source = attempt.choice.source == null ? cache : attempt.choice.source;
         boolean untold = settings.telling() == Telling.NONE && attempt.choice.filler() != null;
         boolean ofSource = switch (outcome.note()) {
             case SOURCE_REFUSED, SOURCE_UNREACHED, SOURCE_LACKS -> true;
-            default -> untold && (outcome.result() == Result.ERROR || outcome.result() == Result.TIMED_OUT);
+            default -> outcome.result() == Result.ERROR ? settings.telling() != Telling.ALL
+                    && attempt.choice.filler() != null && pending.erred.isEmpty()
+                    : untold && outcome.result() == Result.TIMED_OUT;
         };
         switch (outcome.note()) {
             case SOURCE_REFUSED -> crowded(source);
@@ -700,13 +702,7 @@
             case UNCONNECTED -> failed(cache, 1, true);
             case BROKEN -> broke(cache);
             case TIMED_OUT -> silent(cache, attempt);
-            case ERROR -> {
-                if (cache == attempt.choice.target) {
-                    attempt.pending.erred.add(cache);
-                } else {
-                    failed(cache, NEWS, false);
-                }
-            }
+            case ERROR -> attempt.pending.erred.add(cache);
             default -> { }
         }
     }
--- a/src/test/java/clovermill/FailureTest.java
+++ b/src/test/java/clovermill/FailureTest.java
@@ -124,6 +124,7 @@
         for (int part = 1; part <= 2; part++) {
             SendVia sent = (SendVia) director.tell(director.request(0, object, part)).get(0);
             director.tell(new Outcome(sent.request(), 0, sent.member(), Result.ERROR, 1, false, Note.NONE, 0, null));
+            director.tell(new Outcome(sent.request(), 1, sent.member(), Result.OK, 1, true, Note.NONE, 0, null));
         }
         SendVia next = (SendVia) director.tell(director.request(0, object, 9)).get(0);
         assertEquals(home, next.member(), "the cache stays in the ring");
--- /dev/null
+++ b/src/test/java/clovermill/UntoldErrorTest.java
@@ -0,0 +1,93 @@
+package clovermill;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import clovermill.CacheRouter.Action;
+import clovermill.CacheRouter.Fail;
+import clovermill.CacheRouter.Log;
+import clovermill.CacheRouter.Note;
+import clovermill.CacheRouter.Outcome;
+import clovermill.CacheRouter.Refuse;
+import clovermill.CacheRouter.Result;
+import clovermill.CacheRouter.SendVia;
+import clovermill.CacheRouter.SetTimer;
+import clovermill.CacheRouter.Telling;
+import clovermill.CacheRouter.Timer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Sites whose answers tell hits and no cause of an error (centre-cache): a hub whose fills all fail must leave, not the
+ * caches that asked it, and neither a bad cache nor a bad request may be taken for a bad hub.
+ */
+class UntoldErrorTest {
+
+    private final List<String> left = new ArrayList<>();
+    private Director director;
+
+    @BeforeEach
+    void start() {
+        director = new Director(Director.settings(false, Telling.HITS, 1), 7);
+        director.tell(Director.fleet(4));
+    }
+
+    /** Asks for a new object, answers each attempt as told and counts them; the count is negative after a refusal. */
+    private int ask(long object, Predicate<SendVia> errs) {
+        List<Action> next = director.tell(director.request(0, object, 0));
+        for (int attempt = 0;; attempt++) {
+            next.stream().filter(Log.class::isInstance).forEach(line -> left.add(((Log) line).line()));
+            if (next.stream().filter(SetTimer.class::isInstance).findFirst().orElse(null) instanceof SetTimer timer) {
+                director.now += timer.delayUs();
+                next = director.tell(new Timer(timer.token()));
+            }
+            SendVia sent = (SendVia) next.stream().filter(SendVia.class::isInstance).findFirst().orElse(null);
+            if (sent == null) {
+                return next.stream().anyMatch(a -> a instanceof Refuse || a instanceof Fail) ? -attempt : attempt;
+            }
+            director.now += 110_000;
+            boolean bad = errs.test(sent);
+            next = director.tell(new Outcome(sent.request(), attempt, sent.member(), bad ? Result.ERROR : Result.OK,
+                    110_000, !bad, bad ? Note.NONE : Note.FILLED, 0, null));
+        }
+    }
+
+    @Test
+    void aHubWhoseFillsFailLeavesAndNoCacheDoes() {
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            int tries = ask(i, attempt -> attempt.source().equals("parent-1"));
+            assertThat(tries).as("request %d is served", i).isPositive();
+            sent += tries;
+        }
+        assertThat(left).containsExactly("left the ring: PARENT parent-1");
+        assertThat(sent).as("attempts of 100 requests").isLessThan(110);
+    }
+
+    @Test
+    void aCacheThatErrsAtEverythingLeavesAndNoHubStaysAway() {
+        for (int i = 0; i < 100; i++) {
+            int tries = ask(i, attempt -> attempt.member().equals("cache-2"));
+            assertThat(tries).as("request %d is served", i).isPositive();
+        }
+        assertThat(left).contains("left the ring: CACHE cache-2");
+        List<String> sources = new ArrayList<>();
+        for (int i = 100; i < 140; i++) {
+            ask(i, attempt -> {
+                sources.add(attempt.source());
+                return attempt.member().equals("cache-2");
+            });
+        }
+        assertThat(sources).contains("parent-0", "parent-1");
+    }
+
+    @Test
+    void aRequestThatNobodyCanServeEndsAfterThreeAndSpeaksAgainstNone() {
+        for (int i = 0; i < 60; i++) {
+            assertThat(ask(i, attempt -> true)).as("sent before the refusal").isEqualTo(-3);
+        }
+        assertThat(left).isEmpty();
+    }
+}
