Fellows' load comes from members' reports, and the link in has its told size

A probe (a log line for each 40th outcome, not kept) set reports beside the module's beliefs: of the link in the module thought a room of 5 to 18 transfers, infinite at first, where the settings tell 8.7 (zone-link-kb-per-s over pace-kb-per-s); of caches it guessed 4 to 15 transfers where 13 to 28 were reported, as Policy.load gives each fellow what this director has out. Answers on sockets bring the reports as gauges; Host passed null on. Change: spread.decide.SharedLoad keeps, by member and for the link, the level that reports tell, averaged over a second, less this director's own average; with age it gives way to the guess as before. Reports are read in one place for simulator and sockets; an unreadable one is none.

--- a/src/main/java/clovermill/CacheRouter.java
+++ b/src/main/java/clovermill/CacheRouter.java
@@ -49,7 +49,7 @@
     /**
      * The settings of a deployment as one director sees them. {@code directorsByZone} counts the directors of
      * each zone, {@code hubOf} names the hub zone of each zone, and {@code parentKind} is -1 where there are
-     * no parents.
+     * no parents; {@code linkKbPerS} is the location's link in, 0 where it is not told.
      */
     record Settings(int position, int directors, int zone, List<RequestClass> classes,
             List<Integer> directorsByZone,
@@ -57,14 +57,14 @@
             Siblings siblings,
             Telling telling, ColdRule cold, ColdRule parentCold, long drainGraceUs, long answerSlackUs,
             long purgeNoticeUs, long purgeDoneUs, long dialTimeoutUs, boolean listOnRequest, long mustAskUs,
-            double originFallMultiple, long originFallUs, Permissions allowed) {
+            double originFallMultiple, long originFallUs, double linkKbPerS, Permissions allowed) {
 
         /** The same with other classes and permissions. */
         public Settings with(List<RequestClass> otherClasses, Permissions otherwise) {
             return new Settings(position, directors, zone, otherClasses, directorsByZone, hubOf, parentKind,
                     originKind, paceKbPerS, weighted, siblings, telling, cold, parentCold, drainGraceUs,
                     answerSlackUs, purgeNoticeUs, purgeDoneUs, dialTimeoutUs, listOnRequest, mustAskUs,
-                    originFallMultiple, originFallUs, otherwise);
+                    originFallMultiple, originFallUs, linkKbPerS, otherwise);
         }
     }
 
--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -1,5 +1,6 @@
 package clovermill;
 
+import clovermill.spread.decide.SharedLoad;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -78,10 +79,7 @@
     private List<String> takenOut = List.of();
     private final Map<String, Pending> requests = new HashMap<>();
     private final Map<Long, Pending> paused = new HashMap<>();
-    /**
-     * An attempt is load until it ends or its wanted time is over, lest what hangs looks like transfers; then
-     * it counts as late, lest a jam shows only in what gets through. Could harm where many answers are lost.
-     */
+    /** Load until they end or their wanted time is over, lest what hangs looks like transfers; then late. */
     private final PriorityQueue<Attempt> counted = new PriorityQueue<>(Comparator.comparing(Attempt::dueUs));
     /** First attempts of requests that may be sent twice, by when their answer is overdue. */
     private final PriorityQueue<Attempt> hedges = new PriorityQueue<>(Comparator.comparing(Attempt::hedgeUs));
@@ -113,6 +111,7 @@
     public Policy(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
+        link.weight = settings.linkKbPerS() > 0 ? settings.linkKbPerS() / settings.paceKbPerS() : Double.NaN;
     }
 
     @Override
@@ -404,8 +403,7 @@
         Purged purged = purgeOf(request);
         boolean join = settings.allowed().joins() && purged == null;
         out.accept(new SendVia(request.id(), target.id, left, choice.source.id, choice.rank,
-                maxAge(pending, purged), join, choice.sparing, false,
-                pending.kind.freshUs() > 0));
+                maxAge(pending, purged), join, choice.sparing, false, pending.kind.freshUs() > 0));
     }
 
     // ---- Outcomes and further attempts ----------------------------------------------------------
@@ -419,6 +417,10 @@
         if (counted.remove(attempt)) {
             hold(attempt, -1);
         }
+        if (outcome.load() != null) {
+            attempt.choice.target.shared.reported(outcome.load().held(), now);
+            link.shared.reported(outcome.load().linkUse() * link.weight, now);
+        }
         learn(pending, attempt, outcome);
         if (outcome.over() || pending.over) {
             onGone(pending);
@@ -619,8 +621,8 @@
     }
 
     /**
-     * Transfers at a member: those of this director that are out, and for each fellow that shares the member
-     * its part of what this one has out on average, since all see the same clients.
+     * Transfers at a member: those of this director that are out, and its fellows', by reports; where there
+     * are none, for each fellow what this one has out there on average, since all see the same clients.
      */
     private double load(Node node) {
         List<Integer> crew = settings.directorsByZone();
@@ -628,7 +630,8 @@
                 : node.role == Role.PARENT || settings.zone() >= crew.size() ? settings.directors()
                 : crew.get(settings.zone());
         double known = 1 - Math.exp(-Math.max(1, now - startedUs) / SPAN_US);
-        return node.outstanding + Math.max(0, sharers - 1) * node.held(now) / known;
+        double guess = Math.max(0, sharers - 1) * node.held(now) / known;
+        return node.outstanding + node.shared.fellows(node.held(now), guess, now);
     }
 
     /**
@@ -646,13 +649,14 @@
     }
 
     /**
-     * The transfers that a member can hold at full pace: its weight, or what was learned. Little room grows
+     * The transfers that a member can hold at full pace: what is told, or what was learned. Little room grows
      * again while nothing is sent that could tell of more, else a member left alone for it stays so.
      */
     private double room(Node node) {
-        boolean told = settings.weighted() && node.role == Role.CACHE && node != link;
+        boolean told = node == link ? link.weight > 0 : settings.weighted() && node.role == Role.CACHE;
         double most = told ? node.weight : Double.POSITIVE_INFINITY;
-        return node.room == 0 ? most : node.room * Math.exp((now - node.triedUs) / (double) LONGEST_TRIAL_US);
+        return node.room == 0 || node == link && link.shared.told() ? most
+                : node.room * Math.exp((now - node.triedUs) / (double) LONGEST_TRIAL_US);
     }
 
     /**
@@ -715,9 +719,8 @@
     }
 
     /**
-     * A broken connection ends all that was out on it, which is one failure and no proof of a restart: where
-     * the process is dead, the next connection is refused. Guards healthy members against leaving the ring
-     * over one spoilt answer; could harm where members break at every request and still accept.
+     * A broken connection ends all that was out on it: one failure and no proof of a restart, after which the
+     * next is refused. Could harm where members break at every request and still accept.
      */
     private void broke(Node node) {
         if (now - node.brokeUs >= CROWDED_US) {
@@ -766,9 +769,8 @@
     }
 
     /**
-     * Health: a sick member is out of the ring until a trial is due. Where more than half of its fellows are
-     * sick the cause is shared (a link, a hub, the origin, plain overload) and leaving them out would only
-     * pile work on the rest, so all stay in but those that could not be reached, which no load explains.
+     * A sick member is out of the ring until a trial is due. Where more than half of its fellows are sick the
+     * cause is shared (a link, a hub, plain overload): all stay in but those that could not be reached.
      */
     private boolean fit(Node node) {
         List<Node> fellows = ringOf(node).members;
@@ -817,6 +819,7 @@
         node.failures = 0;
         node.trialUs = 0;
         node.room = 0;
+        node.shared.forget();
         node.creditUs = now;
         node.credit = -random.nextDouble() * meanWorkUs.values().stream().max(Double::compare).orElse(0.0);
     }
@@ -870,6 +873,7 @@
         long startedUs;
         boolean listed;
         int outstanding;
+        final SharedLoad shared = new SharedLoad();
         double held;
         long heldUs;
         double room;
--- a/src/main/java/clovermill/adapter/Adapter.java
+++ b/src/main/java/clovermill/adapter/Adapter.java
@@ -12,6 +12,7 @@
 import clovermill.CacheRouter.Settings;
 import clovermill.Policy;
 import clovermill.config.Json;
+import clovermill.config.LoadReports;
 import clovermill.config.SettingsReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -207,25 +208,11 @@
         if (pairs == null) {
             return null;
         }
-        double held = Double.NaN;
-        double busy = Double.NaN;
-        double linkUse = Double.NaN;
-        for (String pair : pairs.split(",")) {
-            int cut = pair.indexOf(':');
-            double value;
-            try {
-                value = Double.parseDouble(pair.substring(cut + 1));
-            } catch (NumberFormatException e) {
-                throw fields.malformed("not a load report: " + pair);
-            }
-            switch (cut < 0 ? "" : pair.substring(0, cut)) {
-                case "concurrent" -> held = value;
-                case "load_share" -> busy = value;
-                case "x1" -> linkUse = value;
-                default -> { }
-            }
+        try {
+            return LoadReports.read(pairs, ",");
+        } catch (NumberFormatException e) {
+            throw fields.malformed("not a load report: " + pairs);
         }
-        return new LoadReport(held, busy, linkUse);
     }
 
     private Event roster(Fields fields) {
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -2,6 +2,7 @@
 
 import clovermill.CacheRouter.Note;
 import clovermill.CacheRouter.Result;
+import clovermill.config.LoadReports;
 import clovermill.host.Answer;
 import clovermill.host.Upstream;
 import clovermill.net.Body;
@@ -30,6 +31,7 @@
     /** Given-up ids that are remembered, lest a late answer be taken for that of a further attempt. */
     private static final int MOST_ABANDONED = 1000;
 
+    private static final System.Logger LOG = System.getLogger(CacheConnection.class.getName());
     private static final Map<String, Note> NOTE_NAMES = Map.of("HIT", Note.HIT, "MISS", Note.FILLED,
             "MISS_ORIGIN", Note.ORIGIN_ASKED, "COLLAPSED", Note.JOINED, "STALE", Note.STALE,
             "UP_BUSY", Note.SOURCE_REFUSED, "UP_DOWN", Note.SOURCE_UNREACHED, "UP_MISS", Note.SOURCE_LACKS,
@@ -273,10 +275,23 @@
         if (answer == null) {
             body.close();
         }
+        String gauges = fields.get("gauges");
+        if (gauges != null) {
+            report(exchange, gauges);
+        }
         exchange.end(result, note, waitedUs, answer);
         settled();
     }
 
+    /** A report that can't be read is none: the answer that brought it is as good as ever. */
+    private static void report(Exchange exchange, String gauges) {
+        try {
+            exchange.ending.reported(LoadReports.read(gauges, ";"));
+        } catch (NumberFormatException unreadable) {
+            LOG.log(System.Logger.Level.DEBUG, "not a load report: {0}", gauges);
+        }
+    }
+
     private static Result result(String word) throws ProtocolException {
         return switch (word) {
             case "DONE", "KEEP", "FIT" -> Result.OK;
--- a/src/main/java/clovermill/config/SettingsReader.java
+++ b/src/main/java/clovermill/config/SettingsReader.java
@@ -54,7 +54,8 @@
                 micros(family + "notice-time-us"), micros(family + "purge-done-us"),
                 micros("policy-limits.dial-timeout-us"), "on_request".equals(values.get("registry-mode")),
                 micros("rules.must-ask-in-us"), decimal(family + "root-fall-multiple", 0),
-                micros(family + "origin-fall-us"), permissions(family));
+                micros(family + "origin-fall-us"),
+                number(item(list(family + "zone-link-kb-per-s"), whole("zone", 0)), 0), permissions(family));
     }
 
     private Permissions permissions(String family) {
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -136,6 +136,7 @@
         Deadlines.Deadline timeout;
         Upstream.Exchange exchange;
         boolean ended;
+        private CacheRouter.LoadReport load;
 
         Attempt(Call call, int number, String member) {
             this.call = call;
@@ -143,6 +144,11 @@
             this.member = member;
         }
 
+        @Override
+        public void reported(CacheRouter.LoadReport report) {
+            load = report;
+        }
+
         @Override
         public void ended(Result told, Note note, long waitedUs, Answer answer) {
             // A member that finds the client's copy good where the client holds none has served nothing.
@@ -163,7 +169,7 @@
             }
             call.forget();
             deliver(new CacheRouter.Outcome(call.ask.id(), number, member, result, clock.micros() - sentUs,
-                    call.over(), note, waitedUs, null));
+                    call.over(), note, waitedUs, load));
         }
 
         /**
--- a/src/main/java/clovermill/host/Upstream.java
+++ b/src/main/java/clovermill/host/Upstream.java
@@ -1,5 +1,6 @@
 package clovermill.host;
 
+import clovermill.CacheRouter.LoadReport;
 import clovermill.CacheRouter.Note;
 import clovermill.CacheRouter.Result;
 
@@ -16,6 +17,9 @@
     /** Told exactly once how an exchange ended, unless it was given up. */
     interface Ending {
 
+        /** The member's answer, which follows, brings a report of its load. */
+        default void reported(LoadReport load) { }
+
         /** {@code answer} is set exactly with {@link Result#OK}; the callee owns it. */
         void ended(Result result, Note note, long waitedUs, Answer answer);
     }
--- a/src/test/java/clovermill/Director.java
+++ b/src/test/java/clovermill/Director.java
@@ -70,7 +70,7 @@
                 PARENT,
                 ORIGIN, 1000, true, Siblings.LOCATION, telling, COLD, PARENT_COLD, 2_000_000, 8_000,
                 300_000,
-                6_000_000, 400_000, false, 10_000_000, 2.5, 3_000_000, allowed);
+                6_000_000, 400_000, false, 10_000_000, 2.5, 3_000_000, 0, allowed);
     }
 
     static Member cache(int i) {
--- a/src/test/java/clovermill/RequestPathTest.java
+++ b/src/test/java/clovermill/RequestPathTest.java
@@ -76,7 +76,7 @@
                 here.parentCold(), here.drainGraceUs(), here.answerSlackUs(), here.purgeNoticeUs(),
                 here.purgeDoneUs(),
                 here.dialTimeoutUs(), here.listOnRequest(), here.mustAskUs(), here.originFallMultiple(),
-                here.originFallUs(), here.allowed());
+                here.originFallUs(), here.linkKbPerS(), here.allowed());
         Director other = new Director(there, 99);
         other.tell(Director.fleet(4));
         Map<String, Integer> parents = new HashMap<>();
--- a/src/test/java/clovermill/host/HostTest.java
+++ b/src/test/java/clovermill/host/HostTest.java
@@ -48,7 +48,7 @@
             (replies.isEmpty() ? List.<Action>of() : replies.poll()).forEach(out);
         }
     }, new CacheRouter.Settings(0, 1, 0, List.of(), List.of(), List.of(), -1, -1, 0, false, CacheRouter.Siblings.NONE,
-            CacheRouter.Telling.ALL, null, null, 0, 4000, 0, 0, 0, false, 0, 0, 0,
+            CacheRouter.Telling.ALL, null, null, 0, 4000, 0, 0, 0, false, 0, 0, 0, 0,
             new CacheRouter.Permissions(true, true, true, true, true, false, 2, 10, 500_000)),
             new Clock() {
                 @Override
--- /dev/null
+++ b/src/test/java/clovermill/spread/decide/SharedLoadTest.java
@@ -0,0 +1,82 @@
+package clovermill.spread.decide;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.Size;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What one director believes of its fellows' load. */
+class SharedLoadTest {
+
+    private static final long SECOND = 1_000_000;
+    private final SharedLoad load = new SharedLoad();
+
+    @Test
+    void withoutReportsTheGuessStands() {
+        assertThat(load.told()).isFalse();
+        assertThat(load.fellows(3, 9, 5 * SECOND)).isEqualTo(9);
+    }
+
+    @Test
+    void ownWorkIsNotCountedTwice() {
+        load.reported(20, 0);
+        assertThat(load.fellows(5, 99, 0)).isEqualTo(15);
+        assertThat(load.fellows(30, 99, 0)).as("a report from before this director's burst").isZero();
+    }
+
+    @Test
+    void aHerdOfReportsAfterSilenceMovesNoMoreThanOneOfThem() {
+        load.reported(10, 0);
+        for (int i = 0; i < 100; i++) {
+            load.reported(0, 10_000); // all that was held back arrives at once, each saying idle
+        }
+        assertThat(load.fellows(0, 99, 10_000)).isGreaterThan(9);
+    }
+
+    @Test
+    void reportsThatStopGiveWayToTheGuess() {
+        load.reported(0, 0);
+        assertThat(load.fellows(0, 40, SECOND)).isLessThan(15);
+        assertThat(load.fellows(0, 40, 3 * SECOND)).isBetween(20.0, 30.0);
+        assertThat(load.fellows(0, 40, 60 * SECOND)).isCloseTo(40, within(0.01));
+    }
+
+    @Test
+    void aStartVoidsWhatWasReported() {
+        load.reported(50, 0);
+        load.forget();
+        assertThat(load.fellows(0, 2, 1)).isEqualTo(2);
+        load.reported(4, 10);
+        assertThat(load.fellows(0, 2, 10)).as("nothing of before is left in it").isEqualTo(4);
+    }
+
+    @Test
+    void whatIsNoCountIsPassedOver() {
+        load.reported(Double.NaN, 0);
+        load.reported(-1, 0);
+        load.reported(Double.POSITIVE_INFINITY, 0);
+        assertThat(load.told()).isFalse();
+    }
+
+    @Property
+    void theBeliefStaysWithinWhatWasToldAndGuessed(
+            @ForAll @Size(min = 1, max = 30) List<@DoubleRange(min = 0, max = 1000) Double> reports,
+            @ForAll @DoubleRange(min = 0, max = 1000) double guess,
+            @ForAll @DoubleRange(min = 0, max = 10) double later) {
+        SharedLoad any = new SharedLoad();
+        long now = 0;
+        for (double each : reports) {
+            any.reported(each, now);
+            now += 137_000;
+        }
+        double most = Math.max(guess, reports.stream().mapToDouble(d -> d).max().orElse(0));
+        double least = Math.min(guess, reports.stream().mapToDouble(d -> d).min().orElse(0));
+        double fellows = any.fellows(0, guess, now + (long) (later * SECOND));
+        assertThat(fellows).isBetween(least - 1e-6, most + 1e-6);
+    }
+}
