A reported overload is shed in part by chance, shown in an emulator of 10 to 1,000 directors

Change: where reports tell that a cache holds more than it sends at full pace, SharedLoad.sheds lets a request go on by chance, just the excess (1 - 1/strain), less the older the report, nothing on a guess; the module takes it to the first cache of the object's tree, a holder before others, with room and half the strain. Package emulator: N directors with the real module before modelled caches (shared links, cold starts that fall over, reports late, noisy, lost, frozen), one seed one run; command fleet-sim with a plan as JSON, JSON lines or a table of load over time.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The flags that keep the whole process within 192 MB stand in the deploy file's run command.
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run run-ledger toy clean prove-ledger prove-upgrade
+.PHONY: build test lint run run-ledger toy clean prove-ledger prove-upgrade prove-spread
 
 build:
 	sh deploy/build.sh
@@ -30,6 +30,11 @@
 	mvn -B -ntp -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java $(PROVE) -cp target/test-classes:target/classes:$$(cat target/test.classpath) clovermill.prove.UpgradeProof
 
+# Some two minutes: the emulator at 10, 100 and 1,000 directors through the hard cases, then real processes with faults.
+prove-spread:
+	mvn -B -ntp -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java $(PROVE) -cp target/test-classes:target/classes:$$(cat target/test.classpath) clovermill.prove.SpreadProof
+
 toy:
 	java example/ToyServer.java
 
--- a/src/main/java/clovermill/Policy.java
+++ b/src/main/java/clovermill/Policy.java
@@ -327,17 +327,20 @@
 
     /**
      * Consistent hashing with bounded loads, against hot objects, uneven weights and slow or cold caches: one
-     * whose answer would come late hands over within the object's tree, best to a holder. Null where none
-     * could answer in time: more work would only make the rest late too. Could harm if a pace is misread.
+     * whose answer would come late hands over within the object's tree, best to a holder; one that reports an
+     * overload sheds a part of it, to half its strain. Null where none could answer in time: more work would
+     * only make the rest late too. Could harm if a pace is misread.
      */
     private Node withRoom(Node target, Copies copies, Pending pending) {
-        if (hasRoom(target, pending, HAND_OVER)) {
+        double full = strain(target);
+        boolean sheds = target.shared.sheds(full, now, random);
+        if (!sheds && hasRoom(target, pending, HAND_OVER)) {
             return target;
         }
         Node other = null;
         for (int treeNode = 0; treeNode < caches.members.size(); treeNode++) {
             Node cache = cacheAt(treeNode, pending);
-            if (cache != null && hasRoom(cache, pending, HAND_OVER)) {
+            if (cache != null && hasRoom(cache, pending, HAND_OVER) && !(sheds && 2 * strain(cache) > full)) {
                 if (holds(copies, cache, pending.request)) {
                     return cache;
                 }
@@ -696,10 +699,7 @@
         }
     }
 
-    /**
-     * An error speaks against a member once another has served the request; where two err, the request is at
-     * fault. Guards the ring against clients that ask for what no cache can make anything of.
-     */
+    /** An error speaks against a member once another serves the request, which may be at fault itself. */
     private void blame(Node cache, Attempt attempt, Result result) {
         switch (result) {
             case REFUSED -> crowded(cache);
--- a/src/main/java/clovermill/cli/Cli.java
+++ b/src/main/java/clovermill/cli/Cli.java
@@ -15,7 +15,7 @@
 @Command(name = "clovermill", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         description = "A traffic director before a two-tier cache.",
         subcommands = {Cli.Serve.class, Cli.AdapterCommand.class, Cli.Rehearse.class, Cli.Check.class,
-            LedgerCommand.class},
+            LedgerCommand.class, FleetSimCommand.class},
         footer = {"", "Exit status: 0 done, 1 a fault or a check that does not hold, 2 wrong usage."})
 public final class Cli implements Callable<Integer> {
 
--- /dev/null
+++ b/src/main/java/clovermill/cli/FleetSimCommand.java
@@ -0,0 +1,127 @@
+package clovermill.cli;
+
+import clovermill.emulator.Emulation;
+import clovermill.emulator.Plan;
+import clovermill.emulator.Tally;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays a fleet of directors against emulated caches. */
+@Command(name = "fleet-sim", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+        description = "Play many directors, each with the real decisions, before emulated caches.",
+        footer = {"", "One seed gives one run. Columns of --table: the load of each cache over its room, by second,",
+            "  . nothing to do   1 to 9 tenths of its room   # full, and more"})
+final class FleetSimCommand implements Callable<Integer> {
+
+    private static final int COLUMNS = 100;
+
+    @Parameters(paramLabel = "PLAN", arity = "0..1", description = "What to play, as JSON (example/fleet-sim.json).")
+    private Path file;
+
+    @Option(names = "--directors", paramLabel = "N", description = "The standard plan for so many (default 100).")
+    private Integer directors;
+
+    @Option(names = "--choice", paramLabel = "NAME", description = "Who chooses, may be given several times: module, "
+            + "guess (the module without reports), least, two.")
+    private List<String> choices;
+
+    @Option(names = "--seed", paramLabel = "S", description = "Source of all random numbers (default 1).")
+    private long seed = 1;
+
+    @Option(names = "--json", description = "JSON lines: one a second, then the figures of the run.")
+    private boolean json;
+
+    @Option(names = "--table", description = "The load of each cache over time.")
+    private boolean table;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, Plan.Unusable {
+        if (file != null && directors != null) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "PLAN and --directors: one of them");
+        }
+        Plan plan = file == null ? Plan.standard(directors == null ? 100 : directors) : read();
+        PrintWriter out = spec.commandLine().getOut();
+        for (String choice : choices == null ? List.of(plan.choice()) : choices) {
+            Plan chosen = plan.choosing(choice);
+            Tally tally = Emulation.play(chosen, seed);
+            Map<String, Object> line = new LinkedHashMap<>();
+            line.put("choice", choice);
+            line.put("directors", chosen.directors());
+            line.put("caches", chosen.caches());
+            line.put("seed", seed);
+            line.putAll(tally.figures());
+            if (json) {
+                for (Tally.Second second : tally.seconds()) {
+                    out.println(text(second(choice, second)));
+                }
+                out.println(text(line));
+            } else {
+                StringBuilder words = new StringBuilder();
+                line.forEach((name, value) -> words.append(words.isEmpty() ? "" : " ").append(name).append('=')
+                        .append(value));
+                out.println(words);
+            }
+            if (table) {
+                print(tally, out);
+            }
+            out.flush();
+        }
+        return 0;
+    }
+
+    private Plan read() throws IOException, Plan.Unusable {
+        try {
+            return Plan.read(file);
+        } catch (Plan.Unusable unusable) {
+            throw new IOException(file + ": " + unusable.getMessage(), unusable);
+        }
+    }
+
+    private static Map<String, Object> second(String choice, Tally.Second second) {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("choice", choice);
+        line.put("second", second.second());
+        line.put("mean", Math.round(second.mean() * 1000) / 1000.0);
+        line.put("most", Math.round(second.most() * 1000) / 1000.0);
+        Map<String, Object> loads = new TreeMap<>();
+        second.loads().forEach((id, load) -> loads.put(id, Math.round(load * 1000) / 1000.0));
+        line.put("loads", loads);
+        return line;
+    }
+
+    private static String text(Map<String, Object> line) throws JsonProcessingException {
+        return new ObjectMapper().writeValueAsString(line);
+    }
+
+    /** A line for each cache, a column for each second. */
+    private static void print(Tally tally, PrintWriter out) {
+        List<Tally.Second> seconds = tally.seconds().subList(0, Math.min(COLUMNS, tally.seconds().size()));
+        TreeSet<String> ids = new TreeSet<>();
+        seconds.forEach(second -> ids.addAll(second.loads().keySet()));
+        for (String id : ids) {
+            StringBuilder row = new StringBuilder();
+            for (Tally.Second second : seconds) {
+                Double load = second.loads().get(id);
+                row.append(load == null ? ' ' : load == 0 ? '.' : load >= 1 ? '#'
+                        : (char) ('0' + Math.max(1, (int) (10 * load))));
+            }
+            out.printf("%-12s %s%n", id, row);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/clovermill/emulator/ReportedChoice.java
@@ -0,0 +1,57 @@
+package clovermill.emulator;
+
+import clovermill.CacheRouter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * The textbook choices to compare with: the cache that was reported least busy, of all or of a few drawn at random
+ * (Mitzenmacher, "The Power of Two Choices", 2001). They follow each report as it stands and know neither homes nor
+ * cold starts; a miss is filled from the one hub.
+ */
+final class ReportedChoice implements CacheRouter {
+
+    private final SplittableRandom random;
+    private final int drawn;
+    private final Map<String, Member> members = new TreeMap<>();
+    private final Map<String, Double> reported = new HashMap<>();
+
+    ReportedChoice(long seed, int drawn) {
+        this.random = new SplittableRandom(seed);
+        this.drawn = drawn;
+    }
+
+    @Override
+    public void handle(long nowUs, Event event, Consumer<Action> out) {
+        if (event instanceof Members news) {
+            news.members().stream().filter(each -> each.kind() == 0).forEach(each -> members.put(each.id(), each));
+            members.values().removeIf(member -> member.availability() != Availability.HEALTHY);
+        } else if (event instanceof Request request) {
+            List<Member> left = new ArrayList<>(members.values());
+            Member best = null;
+            for (int i = 0; i < drawn && !left.isEmpty(); i++) {
+                Member next = left.remove(random.nextInt(left.size()));
+                best = best == null || load(next) < load(best) ? next : best;
+            }
+            out.accept(best == null ? new Refuse(request.id(), 0)
+                    : new SendVia(request.id(), best.id(), request.graceUs(), "hub-0", 2, 0, false, false, false,
+                            false));
+        } else if (event instanceof Outcome outcome) {
+            if (outcome.load() != null) {
+                reported.put(outcome.member(), outcome.load().held());
+            }
+            if (!outcome.over()) {
+                out.accept(new Fail(outcome.request()));
+            }
+        }
+    }
+
+    private double load(Member member) {
+        return reported.getOrDefault(member.id(), 0.0) / member.weight();
+    }
+}
--- /dev/null
+++ b/src/main/java/clovermill/emulator/Tally.java
@@ -0,0 +1,117 @@
+package clovermill.emulator;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What is seen of a run: by second the load of each cache, over its room, and how requests ended. */
+public final class Tally {
+
+    /** A second in which the fleet has less to do than this says nothing of who is idle. */
+    private static final double QUIET = 0.1;
+
+    /** One second: the load of each cache that is warm and in service, by id. */
+    public record Second(int second, Map<String, Double> loads) {
+
+        /** The mean of all caches. */
+        public double mean() {
+            return loads.values().stream().mapToDouble(d -> d).average().orElse(0);
+        }
+
+        /** The highest of all caches. */
+        public double most() {
+            return loads.values().stream().mapToDouble(d -> d).max().orElse(0);
+        }
+
+        double spread() {
+            return mean() == 0 ? 1 : most() / mean();
+        }
+    }
+
+    private final int settle;
+    private final List<Second> seconds = new ArrayList<>();
+    private final List<Double> loads = new ArrayList<>();
+    long asked;
+    long inTime;
+    long late;
+    long refused;
+    long failed;
+    long hits;
+    long answered;
+    int overruns;
+
+    Tally(int settle) {
+        this.settle = settle;
+    }
+
+    void second(int second, Map<String, Double> loadById) {
+        if (second >= settle) {
+            seconds.add(new Second(second, loadById));
+            loads.addAll(loadById.values());
+        }
+    }
+
+    /** The seconds that are judged. */
+    public List<Second> seconds() {
+        return List.copyOf(seconds);
+    }
+
+    /** The most loaded cache over the mean, on average over all judged seconds. */
+    public double maxOverMean() {
+        return seconds.stream().mapToDouble(Second::spread).average().orElse(1);
+    }
+
+    /** The 99th percentile over time of the most loaded cache over the mean. */
+    public double p99OverMean() {
+        return percentile(seconds.stream().mapToDouble(Second::spread).toArray());
+    }
+
+    /** The 99th percentile of the load of one cache in one second. */
+    public double p99Load() {
+        return percentile(loads.stream().mapToDouble(d -> d).toArray());
+    }
+
+    /** Seconds that single caches had nothing to do while the fleet had. */
+    public int idleSeconds() {
+        return (int) seconds.stream().filter(each -> each.mean() >= QUIET)
+                .mapToLong(each -> each.loads.values().stream().filter(load -> load == 0).count()).sum();
+    }
+
+    /** Cold caches that were pushed over. */
+    public int overruns() {
+        return overruns;
+    }
+
+    /** Share of requests that were answered within their wanted time. */
+    public double inTimeShare() {
+        return asked == 0 ? 1 : (double) inTime / asked;
+    }
+
+    private static double percentile(double[] values) {
+        Arrays.sort(values);
+        return values.length == 0 ? 0 : values[(int) Math.min(values.length - 1, Math.ceil(0.99 * values.length))];
+    }
+
+    private static double rounded(double value) {
+        return Math.round(value * 1000) / 1000.0;
+    }
+
+    /** The figures of the whole run, in their order. */
+    public Map<String, Object> figures() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("requests", asked);
+        all.put("in_time", rounded(inTimeShare()));
+        all.put("late", rounded(asked == 0 ? 0 : (double) late / asked));
+        all.put("refused", rounded(asked == 0 ? 0 : (double) refused / asked));
+        all.put("failed", rounded(asked == 0 ? 0 : (double) failed / asked));
+        all.put("hits", rounded(answered == 0 ? 0 : (double) hits / answered));
+        all.put("max_over_mean", rounded(maxOverMean()));
+        all.put("p99_over_mean", rounded(p99OverMean()));
+        all.put("p99_load", rounded(p99Load()));
+        all.put("idle_s", idleSeconds());
+        all.put("overruns", overruns);
+        return all;
+    }
+}
--- a/src/main/java/clovermill/spread/decide/SharedLoad.java
+++ b/src/main/java/clovermill/spread/decide/SharedLoad.java
@@ -1,5 +1,7 @@
 package clovermill.spread.decide;
 
+import java.util.random.RandomGenerator;
+
 /**
  * What fellow directors have out at something that all share, a member or a link, as one director may believe it.
  *
@@ -35,9 +37,24 @@
         return reportedUs != NEVER;
     }
 
+    /**
+     * Whether one of the requests for a member that holds {@code strain} times what it can at full pace better goes
+     * elsewhere. By chance, just the excess: all directors see the same report, and together they are to take away what
+     * is too much and no more. Less of it the older the reports are, and nothing where none were told, as a guess from
+     * one's own few requests is no reason to move. Draws a number only where there is an excess.
+     */
+    public boolean sheds(double strain, long nowUs, RandomGenerator random) {
+        double excess = strain > 1 ? trust(nowUs) * (1 - 1 / strain) : 0;
+        return excess > 0 && random.nextDouble() < excess;
+    }
+
+    private double trust(long nowUs) {
+        return told() ? Math.exp(-(nowUs - reportedUs) / FADE_US) : 0;
+    }
+
     /** What fellows are believed to have out, at least 0: told of late, or as guessed from what this director has. */
     public double fellows(double ownAverage, double guess, long nowUs) {
-        double trust = told() ? Math.exp(-(nowUs - reportedUs) / FADE_US) : 0;
+        double trust = trust(nowUs);
         return trust * Math.max(0, level - ownAverage) + (1 - trust) * guess;
     }
 
--- a/src/test/java/clovermill/LayersTest.java
+++ b/src/test/java/clovermill/LayersTest.java
@@ -36,6 +36,14 @@
                 .check(CLASSES);
     }
 
+    @Test
+    void whatIsKnownOfLoadKnowsNothingAboveItAndNobodyInServiceKnowsTheEmulator() {
+        noClasses().that().resideInAPackage("clovermill.spread.decide..").should().dependOnClassesThat()
+                .resideInAnyPackage("clovermill", "clovermill.host..", "clovermill.emulator..").check(CLASSES);
+        noClasses().that().resideOutsideOfPackages("clovermill.emulator..", "clovermill.cli..").should()
+                .dependOnClassesThat().resideInAPackage("clovermill.emulator..").check(CLASSES);
+    }
+
     @Test
     void theCoreKnowsNoFrontAndNoSubsystem() {
         noClasses().that().resideInAPackage("clovermill.host..").should().dependOnClassesThat().resideInAnyPackage(
--- /dev/null
+++ b/src/test/java/clovermill/emulator/EmulationTest.java
@@ -0,0 +1,83 @@
+package clovermill.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import clovermill.emulator.Plan.Fault;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What many directors do together, and that the emulator shows it: the same run from one seed, and herds as herds. */
+class EmulationTest {
+
+    @TempDir
+    private Path folder;
+
+    private static Plan loaded(int directors) {
+        return new Plan(directors, 12, 600.0 / directors, 0.75, 1, 24, 8, 2000, 0.9, 500, 150, 0.5, "module",
+                new Plan.Reports(500, 150, 0.1, 0.05), List.of());
+    }
+
+    private static void overrunsNone(Plan plan) throws Plan.Unusable {
+        assertThat(Emulation.play(plan, 5).overruns()).isZero();
+    }
+
+    @Test
+    void oneSeedGivesOneRunAndAnotherAnother() throws Plan.Unusable {
+        Plan plan = loaded(20).with(new Fault("kill", 12, 2, 3, 0));
+        Tally first = Emulation.play(plan, 5);
+        assertThat(Emulation.play(plan, 5).seconds()).isEqualTo(first.seconds());
+        assertThat(Emulation.play(plan, 6).seconds()).isNotEqualTo(first.seconds());
+    }
+
+    @Test
+    void aReportedOverloadIsSpreadMoreEvenlyThanAGuessedOne() throws Plan.Unusable {
+        Tally told = Emulation.play(loaded(60), 5);
+        Tally guessed = Emulation.play(loaded(60).choosing("guess"), 5);
+        assertThat(told.maxOverMean()).isLessThan(0.95 * guessed.maxOverMean());
+        assertThat(told.inTimeShare()).isGreaterThan(guessed.inTimeShare());
+        assertThat(told.idleSeconds()).isZero();
+    }
+
+    @Test
+    void directorsThatFollowEveryReportRunTogetherAndOursDoNot() throws Plan.Unusable {
+        Plan frozen = loaded(60).with(new Fault("freeze", 10, 5, 0, 0));
+        Tally herd = Emulation.play(frozen.choosing("least"), 5);
+        Tally ours = Emulation.play(frozen, 5);
+        assertThat(ours.inTimeShare()).isGreaterThan(0.99).isGreaterThan(herd.inTimeShare());
+        assertThat(ours.p99Load()).isLessThan(herd.p99Load());
+    }
+
+    @Test
+    void aColdCacheHoldsUnderTheSumOfAllDirectors() throws Plan.Unusable {
+        Plan join = loaded(100).with(new Fault("join", 10, 0, 0, 0));
+        assertThat(Emulation.play(join.choosing("least"), 5).overruns()).as("the test can fail").isPositive();
+        overrunsNone(join);
+        overrunsNone(join.skewed(10));
+        overrunsNone(join.with(new Fault("freeze", 9, 5, 0, 0)));
+    }
+
+    @Test
+    void aSlowCacheWhoseReportsLookFineIsFoundOutByItsAnswers() throws Plan.Unusable {
+        Plan slow = loaded(40).with(new Fault("slow", 10, 12, 3, 0.3));
+        assertThat(Emulation.play(slow, 5).inTimeShare())
+                .isGreaterThan(Emulation.play(slow.choosing("two"), 5).inTimeShare());
+    }
+
+    @Test
+    void aPlanThatCannotBePlayedSaysWhichFieldAndWhy() throws Exception {
+        Path file = folder.resolve("plan.json");
+        Files.writeString(file, "{\"directors\":10,\"faults\":[{\"kind\":\"flood\",\"at\":1}]}");
+        assertThatThrownBy(() -> Plan.read(file)).hasMessage(
+                "/faults/0/kind: flood is none of [freeze, mute, slow, join, leave, kill]");
+        Files.writeString(file, "{\"directors\":-3}");
+        assertThatThrownBy(() -> Plan.read(file)).hasMessageStartingWith("/directors: -3.0 is not between");
+        Files.writeString(file, "{\"directrs\":3}");
+        assertThatThrownBy(() -> Plan.read(file)).hasMessageStartingWith("/directrs: ");
+        Files.writeString(file, "[]");
+        assertThatThrownBy(() -> Plan.read(file)).hasMessage("/: an object was expected");
+    }
+}
--- a/src/test/java/clovermill/prove/Load.java
+++ b/src/test/java/clovermill/prove/Load.java
@@ -35,6 +35,8 @@
     private final EventLoop loop;
     private final int port;
     private final double perUs;
+    private final int kb;
+    private final int power;
     private final Random random;
     private final List<Client> clients = new ArrayList<>();
     private final Thread thread;
@@ -53,7 +55,14 @@
     volatile long served;
 
     Load(int port, int perSecond, long seed) throws IOException {
+        this(port, perSecond, seed, 4, 1);
+    }
+
+    /** Parts of so many KB; a power above 1 makes some objects more popular than others. */
+    Load(int port, int perSecond, long seed, int kb, int power) throws IOException {
         this.port = port;
+        this.kb = kb;
+        this.power = power;
         this.perUs = perSecond / 1e6;
         this.random = new Random(seed);
         loop = new EventLoop(clock, deadlines);
@@ -126,7 +135,7 @@
                 return;
             }
             boolean order = random.nextInt(30) == 0;
-            int object = random.nextInt(5000);
+            int object = (int) (5000 * Math.pow(random.nextDouble(), power));
             String key = String.format("%04x%012x", (object * 7919) % 20_000, object);
             Map<String, String> fields = new HashMap<>();
             fields.put("class", order ? "order" : "page");
@@ -134,7 +143,7 @@
             fields.put("wait", "3000");
             fields.put("key", key);
             fields.put("bucket", "" + object % 256);
-            fields.put("kb", "4");
+            fields.put("kb", "" + kb);
             if (order) {
                 fields.put("once", String.format("%016x", random.nextLong()));
             }
--- a/src/test/java/clovermill/prove/StandIns.java
+++ b/src/test/java/clovermill/prove/StandIns.java
@@ -8,7 +8,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -52,51 +51,13 @@
         return 200 + Integer.parseInt(object.substring(0, 4), 16);
     }
 
-    private final class Peer implements Connection.Handler {
-        private final Connection connection;
-        private byte[] kept = {};
-
+    private final class Peer extends LinePeer {
         Peer(Connection connection) {
-            this.connection = connection;
+            super(connection);
         }
 
         @Override
-        public void received(ByteBuffer data) {
-            byte[] all = Arrays.copyOf(kept, kept.length + data.remaining());
-            data.get(all, kept.length, data.remaining());
-            int at = 0;
-            for (int end = line(all, at); end >= 0; end = line(all, at)) {
-                String text = new String(all, at, end - at, StandardCharsets.ISO_8859_1);
-                String[] words = text.split(" ");
-                if (words[0].equals("want")) {
-                    int body = Integer.parseInt(words[3]);
-                    if (all.length < end + 4 + body) {
-                        break;
-                    }
-                    at = end + 4 + body;
-                    want(words[1], words[2]);
-                } else {
-                    at = end + 2;
-                    if (words[0].equals("there") || words[0].equals("busy")) {
-                        say(words[1] + " FIT - 0\r\n\r\n");
-                    } else if (words[0].equals("GET")) {
-                        poll(words[1]);
-                    }
-                }
-            }
-            kept = Arrays.copyOfRange(all, at, all.length);
-        }
-
-        private static int line(byte[] bytes, int from) {
-            for (int i = from; i + 1 < bytes.length; i++) {
-                if (bytes[i] == '\r' && bytes[i + 1] == '\n') {
-                    return i;
-                }
-            }
-            return -1;
-        }
-
-        private void want(String id, String fields) {
+        void want(String id, String fields) {
             String object = field(fields, "obj");
             String token = field(fields, "token");
             if (token != null) {
@@ -109,33 +70,13 @@
             say("\r\n");
         }
 
-        private void poll(String path) {
+        @Override
+        void poll(String path) {
             long block = Long.parseLong(path.replaceAll(".*block=", ""));
             String body = "{\"cursor\":" + path.replaceAll(".*resume=([0-9]+).*", "$1") + ",\"cmds\":[]}";
             deadlines.add(clock.micros() + block * 1000, () -> say("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
                     + "\r\n\r\n" + body));
         }
-
-        private static String field(String fields, String name) {
-            for (String each : fields.split(",")) {
-                if (each.startsWith(name + "=")) {
-                    return each.substring(name.length() + 1);
-                }
-            }
-            return null;
-        }
-
-        private void say(String text) {
-            connection.send(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
-        }
-
-        @Override
-        public void ended() {
-            connection.close();
-        }
-
-        @Override
-        public void closed(IOException cause) { }
     }
 
     @Override
--- a/src/test/java/clovermill/spread/decide/SharedLoadTest.java
+++ b/src/test/java/clovermill/spread/decide/SharedLoadTest.java
@@ -8,6 +8,8 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.Size;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** What one director believes of its fellows' load. */
@@ -55,6 +57,23 @@
         assertThat(load.fellows(0, 2, 10)).as("nothing of before is left in it").isEqualTo(4);
     }
 
+    @Test
+    void directorsTogetherShedTheExcessAndNoMore() {
+        SplittableRandom random = new SplittableRandom(3);
+        load.reported(40, 0);
+        long gone = IntStream.range(0, 10_000).filter(i -> load.sheds(4, 0, random)).count();
+        assertThat(gone).as("of 10,000 to one that holds four times its room").isBetween(7_300L, 7_700L);
+        assertThat(IntStream.range(0, 1000).filter(i -> load.sheds(1, 0, random)).count()).isZero();
+    }
+
+    @Test
+    void nothingIsShedOnAGuessNorOnReportsOfLongAgo() {
+        SplittableRandom random = new SplittableRandom(3);
+        assertThat(load.sheds(50, 0, random)).isFalse();
+        load.reported(40, 0);
+        assertThat(IntStream.range(0, 1000).filter(i -> load.sheds(50, 30 * SECOND, random)).count()).isZero();
+    }
+
     @Test
     void whatIsNoCountIsPassedOver() {
         load.reported(Double.NaN, 0);
