Directors share limits and verdicts over UDP, with a bound that no link failure moves

Change: package fleet. decide.LeasedRate: each director owns a slice, lends what it does not use for a term that the borrower counts from its asking and the lender, longer, from its giving, so that all slices never sum to more than the limit; a start keeps back what may be lent. decide.Verdicts: a last-writer map by Lamport clock with digests. decide.FleetMember: who is told what, replays and earlier starts ignored. Fleet: the socket, and the Audit that turns requests away. net.Datagrams: UDP on the loop. Bound: in w seconds all admit at most limit x (w + burst) + n; a verdict reaches all within max(3 rounds, 20 intervals). Open: limits on what is open at once, retry budgets, purges and keys as verdicts.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The flags that keep the whole process within 192 MB stand in the deploy file's run command.
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run run-ledger toy clean prove-ledger prove-upgrade prove-spread
+.PHONY: build test lint run run-ledger toy clean prove-ledger prove-upgrade prove-spread prove-fleet-limits
 
 build:
 	sh deploy/build.sh
@@ -35,6 +35,11 @@
 	mvn -B -ntp -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
 	java $(PROVE) -cp target/test-classes:target/classes:$$(cat target/test.classpath) clovermill.prove.SpreadProof
 
+# Some four minutes: limits of the whole fleet in the emulator, then real processes over links that fail.
+prove-fleet-limits:
+	mvn -B -ntp -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/test.classpath
+	java $(PROVE) -cp target/test-classes:target/classes:$$(cat target/test.classpath) clovermill.prove.LimitsProof
+
 toy:
 	java example/ToyServer.java
 
--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -8,6 +8,8 @@
 import clovermill.channel.Roster;
 import clovermill.config.Config;
 import clovermill.config.Json;
+import clovermill.fleet.Fleet;
+import clovermill.fleet.FleetSettings;
 import clovermill.front.FrameFront;
 import clovermill.host.Host;
 import clovermill.ledger.Ledger;
@@ -52,13 +54,16 @@
     private final Departure departure;
     private final Reloader reloader;
     private final Ledger ledger;
+    /** Null where this director tells others nothing. */
+    private final Fleet fleet;
 
     /**
      * Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. Later
-     * configurations come from {@code file}; {@code kept} is null where no ledger is kept.
+     * configurations come from {@code file}; {@code kept} is null where no ledger is kept, {@code fellows} where the
+     * director acts alone.
      */
-    Assembly(Config config, Path file, Clock clock, long settleUs, LedgerSettings kept, Platform platform)
-            throws IOException, Json.Malformed {
+    Assembly(Config config, Path file, Clock clock, long settleUs, LedgerSettings kept, FleetSettings fellows,
+            Platform platform) throws IOException, Json.Malformed {
         CacheRouter.Settings settings = config.settings();
         Commands known = Commands.read(config.known(), config.zones(), config.kinds());
         Deadlines deadlines = new Deadlines();
@@ -72,7 +77,9 @@
         ledger = kept == null ? null : Ledger.open(kept, new Ledger.Director(config.name(), config.classes(),
                 settings.parentKind(), settings.originKind(), settings.allowed().maxOpen()), clock, deadlines,
                 loop::post, Volume.local());
-        Host host = new Host(new Policy(settings, config.seed()), settings, clock, deadlines, pool, ledger);
+        fleet = fellows == null ? null : new Fleet(fellows, config.classes(), clock, deadlines, ledger);
+        Host host = new Host(new Policy(settings, config.seed()), settings, clock, deadlines, pool,
+                fleet == null ? ledger : fleet);
         Roster roster = new Roster(clock, pool, host, new Outages(), settings.originKind());
         roster.start(known);
         channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
@@ -89,9 +96,13 @@
         if (sharing != null) {
             sharing.look();
         }
-        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(sharing == null
-                ? new Operations(roster, front, clock, OutageMarks.NONE, () -> { })
-                : new Operations(roster, front, clock, sharing.marks(), sharing::catchUp)));
+        OutageMarks marks = sharing == null ? OutageMarks.NONE : sharing.marks();
+        if (fleet != null) {
+            fleet.open(loop, new Fellows(roster, marks, clock));
+            marks = new Fellows.Telling(marks, fleet);
+        }
+        admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(
+                new Operations(roster, front, clock, marks, sharing == null ? () -> { } : sharing::catchUp)));
         if (admin != null) {
             admin.open(platform.admin());
         }
@@ -126,6 +137,9 @@
         if (sharing != null) {
             sharing.close();
         }
+        if (fleet != null) {
+            fleet.close();
+        }
         if (ledger != null) {
             ledger.close();
         }
--- a/src/main/java/clovermill/Service.java
+++ b/src/main/java/clovermill/Service.java
@@ -2,6 +2,7 @@
 
 import clovermill.config.Config;
 import clovermill.config.Json;
+import clovermill.fleet.FleetSettings;
 import clovermill.ledger.LedgerSettings;
 import clovermill.net.Clock;
 import clovermill.reload.Signals;
@@ -11,6 +12,7 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 
@@ -35,11 +37,13 @@
     public static void serve(String settings) throws BadStart, IOException {
         SettingsFile own = null;
         LedgerSettings ledger = null;
+        FleetSettings fleet = null;
         if (settings != null) {
             try {
                 own = SettingsFile.read(settings);
                 Optional<LogSettings> log = own.part("log", LogSettings.class);
                 ledger = own.part("ledger", LedgerSettings.class).orElse(null);
+                fleet = own.part("fleet", FleetSettings.class).orElse(null);
                 log.ifPresent(StructuredLog::start);
             } catch (SettingsFile.Fault fault) {
                 throw new BadStart(fault.getMessage());
@@ -52,16 +56,21 @@
         Assembly director;
         try {
             Config config = Config.load(file, System.getenv("BALANCER_LISTEN"));
-            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger,
+            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger, fleet,
                     Platform.read(System.getenv(), config));
             run(director, config);
         } catch (Json.Malformed bad) {
             throw new BadStart("the configuration: " + bad.getMessage());
         } catch (IllegalArgumentException bad) {
-            throw new BadStart(settings + ": /ledger: " + bad.getMessage());
+            throw new BadStart(settings + ": " + placed(bad));
         }
     }
 
+    /** The place and the reason; what a subsystem does not place itself is the ledger's. */
+    private static String placed(IllegalArgumentException bad) {
+        return bad.getMessage().startsWith("/") ? bad.getMessage() : "/ledger: " + bad.getMessage();
+    }
+
     private static void run(Assembly director, Config config) throws IOException {
         int[] status = {1};
         CountDownLatch left = new CountDownLatch(1);
@@ -124,13 +133,18 @@
             SettingsFile own = SettingsFile.read(file);
             own.part("log", LogSettings.class);
             Optional<LedgerSettings> ledger = own.part("ledger", LedgerSettings.class);
-            if (config != null && ledger.isPresent()) {
-                ledger.get().check(Config.load(config, null).classes());
+            Optional<FleetSettings> fleet = own.part("fleet", FleetSettings.class);
+            List<String> classes = config == null ? null : Config.load(config, null).classes();
+            if (classes != null && ledger.isPresent()) {
+                ledger.get().check(classes);
+            }
+            if (fleet.isPresent()) {
+                fleet.get().check(classes);
             }
         } catch (Json.Malformed bad) {
             throw new BadStart("the configuration: " + bad.getMessage());
         } catch (IllegalArgumentException bad) {
-            throw new SettingsFile.Fault(file, "/ledger", bad.getMessage());
+            throw new SettingsFile.Fault(file, "", placed(bad));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/clovermill/emulator/TalkingFleet.java
@@ -0,0 +1,269 @@
+package clovermill.emulator;
+
+import clovermill.fleet.decide.FleetMember;
+import clovermill.fleet.decide.FleetMember.Outgoing;
+import clovermill.fleet.decide.FleetMember.Place;
+import clovermill.fleet.decide.LeasedRate;
+import clovermill.fleet.decide.Message;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * Directors that tell one another over links that lose, delay, repeat and cut, each by a clock of its own that is
+ * seconds off and runs a little fast or slow, under one limit and with verdicts said to any of them. The members are
+ * the real {@link FleetMember}; one seed gives one run.
+ */
+public final class TalkingFleet {
+
+    /**
+     * A run: so many directors under a limit by second, which the first {@code hot} of them are asked for {@code
+     * offered} times over; links with a loss, a delay of up to so long, and faults. One verdict is said every second.
+     */
+    public record Case(int directors, double limit, int hot, double offered, double loss, long delayMs, int seconds,
+            List<Cut> cuts, List<Kill> kills) { }
+
+    /** From a time, for so many seconds, the directors from one number up to another hear nobody else. */
+    public record Cut(double at, double lasts, int from, int to) { }
+
+    /** A director dies at a time and starts anew after so many seconds, knowing nothing. */
+    public record Kill(double at, double lasts, int which) { }
+
+    /**
+     * What was seen. {@code most}: admitted by all within any one second, beside its {@code bound}; {@code
+     * usedShare}: of the limit, where more was asked for; {@code staleMs}: the longest until a verdict held
+     * everywhere, from when the links allowed it, beside its bound; {@code lostVerdicts}: not held by somebody at the
+     * end; {@code mostAlone}: by a director that heard nobody for longer than a term, over its own slice.
+     */
+    public record Figures(double most, double bound, double usedShare, long staleMs, long staleBoundMs,
+            int lostVerdicts, double mostAlone) { }
+
+    private static final long STEP_US = 10_000;
+    private static final long SECOND_US = 1_000_000;
+    private static final double BURST_S = 0.1;
+    private static final long TERM_US = 2_000_000;
+    private static final double DRIFT = 0.01;
+    private static final long INTERVAL_US = 200_000;
+    private static final int FANOUT = 4;
+    private static final double REPEATED = 0.02;
+
+    private record Packet(long atUs, long order, int to, Message message) implements Comparable<Packet> {
+        @Override
+        public int compareTo(Packet other) {
+            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
+        }
+    }
+
+    /** A verdict that was said, and when it held everywhere. */
+    private static final class Said {
+        private final String subject;
+        private long fromUs;
+        private boolean everywhere;
+
+        Said(String subject, long fromUs) {
+            this.subject = subject;
+            this.fromUs = fromUs;
+        }
+    }
+
+    /** A director: its member, null while it is dead, and its clock. */
+    private final class Peer {
+        private final int number;
+        private final double pace = 1 + DRIFT * (random.nextDouble() - 0.5);
+        private final long offsetUs = (long) (random.nextDouble() * 20 * SECOND_US);
+        private final long phaseUs = (long) (random.nextDouble() * INTERVAL_US);
+        private FleetMember member;
+        private long tickUs;
+        private double due;
+
+        Peer(int number) {
+            this.number = number;
+        }
+
+        long clock() {
+            return offsetUs + (long) (nowUs * pace);
+        }
+
+        void start() {
+            member = new FleetMember(place(number), List.of(terms), random.split(), verdict -> { }, clock());
+            tickUs = nowUs + phaseUs;
+        }
+    }
+
+    private final Case plan;
+    private final SplittableRandom random;
+    private final LeasedRate.Terms terms;
+    private final List<Peer> peers = new ArrayList<>();
+    private final PriorityQueue<Packet> packets = new PriorityQueue<>();
+    private final List<Said> verdicts = new ArrayList<>();
+    private final Deque<Integer> window = new ArrayDeque<>();
+    private int inWindow;
+    private int most;
+    private long admitted;
+    private long nowUs;
+    private long order;
+    private long staleUs;
+    private double mostAlone;
+
+    private TalkingFleet(Case plan, long seed) {
+        this.plan = plan;
+        this.random = new SplittableRandom(seed);
+        this.terms = new LeasedRate.Terms(plan.limit(), plan.directors(), BURST_S, TERM_US, DRIFT);
+        for (int i = 0; i < plan.directors(); i++) {
+            peers.add(new Peer(i));
+            peers.get(i).start();
+        }
+    }
+
+    private Place place(int number) {
+        return new Place(number, plan.directors(), INTERVAL_US, FANOUT);
+    }
+
+    /** Plays a case. */
+    public static Figures play(Case plan, long seed) {
+        return new TalkingFleet(plan, seed).run();
+    }
+
+    private Figures run() {
+        long end = plan.seconds() * SECOND_US;
+        long sayUs = SECOND_US;
+        for (nowUs = 0; nowUs < end; nowUs += STEP_US) {
+            faults();
+            while (!packets.isEmpty() && packets.peek().atUs <= nowUs) {
+                Packet packet = packets.poll();
+                Peer to = peers.get(packet.to);
+                if (to.member != null && linked(packet.message.from(), packet.to)) {
+                    send(to, to.member.heard(packet.message, to.clock()));
+                }
+            }
+            for (Peer peer : peers) {
+                if (peer.member != null && nowUs >= peer.tickUs) {
+                    peer.tickUs += INTERVAL_US;
+                    send(peer, peer.member.tick(peer.clock()));
+                }
+            }
+            if (nowUs >= sayUs && nowUs < end - 15 * SECOND_US) {
+                sayUs += SECOND_US;
+                say();
+            }
+            admit();
+            follow();
+        }
+        int lost = (int) verdicts.stream().filter(said -> !heldBy(said.subject)).count();
+        return new Figures(most, LeasedRate.most(terms, 1), admitted / (plan.limit() * plan.seconds()),
+                staleUs / 1000, FleetMember.staleMs(place(0), plan.delayMs()), lost, mostAlone);
+    }
+
+    private void faults() {
+        for (Kill kill : plan.kills()) {
+            Peer peer = peers.get(kill.which());
+            if (happens(kill.at())) {
+                peer.member = null;
+            } else if (happens(kill.at() + kill.lasts())) {
+                peer.start();
+            }
+        }
+    }
+
+    private boolean happens(double at) {
+        long atUs = (long) (at * SECOND_US);
+        return nowUs >= atUs && nowUs - STEP_US < atUs;
+    }
+
+    private boolean linked(int one, int other) {
+        for (Cut cut : plan.cuts()) {
+            boolean now = nowUs >= cut.at() * SECOND_US && nowUs < (cut.at() + cut.lasts()) * SECOND_US;
+            if (now && inside(cut, one) != inside(cut, other)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean inside(Cut cut, int number) {
+        return number >= cut.from() && number < cut.to();
+    }
+
+    /** Every message takes a time of its own, so that they overtake one another; some are lost and some come twice. */
+    private void send(Peer from, List<Outgoing> messages) {
+        for (Outgoing each : messages) {
+            int copies = random.nextDouble() < plan.loss() ? 0 : random.nextDouble() < REPEATED ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                long delayUs = (long) (random.nextDouble() * plan.delayMs() * 1000);
+                packets.add(new Packet(nowUs + delayUs, order++, each.to(), each.message()));
+            }
+        }
+    }
+
+    /** Says a verdict to a director, which tells some fellows at once. */
+    private void say() {
+        Peer peer = peers.get(random.nextInt(peers.size()));
+        if (peer.member != null) {
+            String subject = "cache/s-" + verdicts.size();
+            peer.member.say(subject, true);
+            send(peer, peer.member.tick(peer.clock()));
+            verdicts.add(new Said(subject, nowUs));
+        }
+    }
+
+    /** Each hot director is asked for its share of what is offered. */
+    private void admit() {
+        int now = 0;
+        for (int i = 0; i < plan.hot(); i++) {
+            Peer peer = peers.get(i);
+            peer.due += plan.offered() * plan.limit() / plan.hot() * STEP_US / SECOND_US;
+            for (; peer.due >= 1; peer.due--) {
+                now += peer.member != null && peer.member.admit(0, peer.clock()) ? 1 : 0;
+            }
+            if (peer.member != null && alone(i)) {
+                double slice = terms.perSecond() / terms.directors();
+                mostAlone = Math.max(mostAlone, peer.member.rate(0, peer.clock()) - slice);
+            }
+        }
+        admitted += now;
+        inWindow += now;
+        window.add(now);
+        if (window.size() > SECOND_US / STEP_US) {
+            inWindow -= window.poll();
+        }
+        most = Math.max(most, inWindow);
+    }
+
+    /** Whether a director has heard nobody for longer than a term. */
+    private boolean alone(int number) {
+        for (Cut cut : plan.cuts()) {
+            boolean longer = nowUs > cut.at() * SECOND_US + 1.1 * TERM_US;
+            if (longer && nowUs < (cut.at() + cut.lasts()) * SECOND_US && cut.to() - cut.from() == 1
+                    && cut.from() == number) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** How long verdicts take; while links are cut or directors are dead, the time starts anew with the last of it. */
+    private void follow() {
+        boolean whole = peers.stream().allMatch(peer -> peer.member != null) && plan.cuts().stream().noneMatch(cut ->
+                nowUs >= cut.at() * SECOND_US && nowUs < (cut.at() + cut.lasts()) * SECOND_US);
+        for (Said said : verdicts) {
+            if (!whole) {
+                said.fromUs = said.everywhere ? said.fromUs : nowUs;
+            } else if (!said.everywhere) {
+                said.everywhere = heldBy(said.subject);
+                staleUs = Math.max(staleUs, nowUs - said.fromUs);
+            }
+        }
+    }
+
+    private boolean heldBy(String subject) {
+        for (Peer peer : peers) {
+            if (peer.member != null && !peer.member.holds(subject)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/clovermill/fleet/MessageCodec.java
@@ -0,0 +1,147 @@
+package clovermill.fleet;
+
+import clovermill.fleet.decide.FleetMember;
+import clovermill.fleet.decide.Message;
+import clovermill.fleet.decide.Verdict;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Messages as datagrams, signed with the fleet's key (HMAC-SHA-256, RFC 2104, its first 16 bytes). Big-endian:
+ *
+ * <pre>
+ * magic:4 "CVF1"  from:2  to:2  boot:8  sequence:8  digest:8
+ * count:1, for each verdict: size:1 subject  on:1  version:8  origin:2
+ * count:1, for each ask:     limit:1  nonce:8  per-second:8 (IEEE 754)
+ * count:1, for each loan:    limit:1  nonce:8  per-second:8
+ * signature:16
+ * </pre>
+ *
+ * <p>Whatever is not exactly this, for this director and by this key, is a {@link BadMessage} and nothing else.
+ */
+final class MessageCodec {
+
+    /** A datagram that is none of ours; the message says why, and holds nothing of what it carried. */
+    static final class BadMessage extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadMessage(String reason) {
+            super(reason, null, false, false);
+        }
+    }
+
+    /** Fits one frame of any link, so that no datagram is cut in pieces. */
+    static final int MOST_BYTES = 1400;
+    static final int MOST_SUBJECT = 64;
+    private static final int MAGIC = 0x43564631;
+    private static final int SIGNATURE = 16;
+    private static final int MOST_ITEMS = 64;
+
+    private final int self;
+    private final Mac mac;
+
+    MessageCodec(int self, byte[] key) {
+        this.self = self;
+        try {
+            mac = Mac.getInstance("HmacSHA256");
+            mac.init(new SecretKeySpec(key, "HmacSHA256"));
+        } catch (GeneralSecurityException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** A message to a fellow, ready to be sent. */
+    ByteBuffer write(int to, Message message) {
+        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+        out.putInt(MAGIC).putShort((short) message.from()).putShort((short) to).putLong(message.boot())
+                .putLong(message.sequence()).putLong(message.digest()).put((byte) message.verdicts().size());
+        for (Verdict each : message.verdicts()) {
+            byte[] subject = each.subject().getBytes(StandardCharsets.UTF_8);
+            out.put((byte) subject.length).put(subject).put((byte) (each.on() ? 1 : 0)).putLong(each.version())
+                    .putShort((short) each.origin());
+        }
+        out.put((byte) message.asks().size());
+        message.asks().forEach(each -> out.put((byte) each.limit()).putLong(each.nonce()).putDouble(each.perSecond()));
+        out.put((byte) message.loans().size());
+        message.loans().forEach(each -> out.put((byte) each.limit()).putLong(each.nonce()).putDouble(each.perSecond()));
+        mac.update(out.array(), 0, out.position());
+        return out.put(mac.doFinal(), 0, SIGNATURE).flip();
+    }
+
+    /** Reads a datagram from its position to its limit. */
+    Message read(ByteBuffer in) throws BadMessage {
+        if (in.remaining() < 4 + SIGNATURE || in.remaining() > MOST_BYTES || in.getInt(in.position()) != MAGIC) {
+            throw new BadMessage("not of this protocol");
+        }
+        byte[] whole = new byte[in.remaining()];
+        in.get(whole);
+        int signed = whole.length - SIGNATURE;
+        mac.update(whole, 0, signed);
+        // Compared in constant time, lest the time tells how much of a forged signature was right.
+        byte[] right = Arrays.copyOf(mac.doFinal(), SIGNATURE);
+        if (!MessageDigest.isEqual(right, Arrays.copyOfRange(whole, signed, whole.length))) {
+            throw new BadMessage("not signed with the fleet's key, or changed on its way");
+        }
+        try {
+            return message(ByteBuffer.wrap(whole, 4, signed - 4));
+        } catch (BufferUnderflowException cut) {
+            throw new BadMessage("shorter than it says");
+        }
+    }
+
+    private Message message(ByteBuffer in) throws BadMessage {
+        int from = in.getShort() & 0xffff;
+        if ((in.getShort() & 0xffff) != self) {
+            throw new BadMessage("meant for another director");
+        }
+        long boot = in.getLong();
+        long sequence = in.getLong();
+        long digest = in.getLong();
+        List<Verdict> verdicts = new ArrayList<>();
+        for (int i = count(in); i > 0; i--) {
+            byte[] subject = new byte[in.get() & 0xff];
+            in.get(subject);
+            if (subject.length == 0 || subject.length > MOST_SUBJECT) {
+                throw new BadMessage("a verdict on nothing, or on too long a subject");
+            }
+            verdicts.add(new Verdict(new String(subject, StandardCharsets.UTF_8), in.get() == 1, in.getLong(),
+                    in.getShort() & 0xffff));
+        }
+        List<Message.Ask> asks = new ArrayList<>();
+        for (int i = count(in); i > 0; i--) {
+            asks.add(new Message.Ask(in.get() & 0xff, in.getLong(), amount(in)));
+        }
+        List<Message.Loan> loans = new ArrayList<>();
+        for (int i = count(in); i > 0; i--) {
+            loans.add(new Message.Loan(in.get() & 0xff, in.getLong(), amount(in)));
+        }
+        if (in.hasRemaining()) {
+            throw new BadMessage("longer than it says");
+        }
+        return new Message(from, boot, sequence, digest, verdicts, asks, loans);
+    }
+
+    private static int count(ByteBuffer in) throws BadMessage {
+        int count = in.get() & 0xff;
+        if (count > MOST_ITEMS) {
+            throw new BadMessage("more items than any message has");
+        }
+        return count;
+    }
+
+    private static double amount(ByteBuffer in) throws BadMessage {
+        double amount = in.getDouble();
+        if (!(amount >= 0 && amount < Double.POSITIVE_INFINITY)) {
+            throw new BadMessage("an amount that is none");
+        }
+        return amount;
+    }
+}
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** The one thread of the process: a selector, its connections and the sweep of all deadlines. */
@@ -181,6 +183,19 @@
         return new Listener(passed, false, false, most, makeRoom, handlers);
     }
 
+    /** Takes datagrams on an address. */
+    public Datagrams datagrams(InetSocketAddress address, Consumer<ByteBuffer> received) throws IOException {
+        DatagramChannel channel = DatagramChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.bind(address);
+            return new Datagrams(channel, selector, readBuffer, received);
+        } catch (IOException | RuntimeException failure) {
+            quietly(channel);
+            throw failure;
+        }
+    }
+
     /** Dials; the handler hears of the result. A dial that fails at once throws. */
     public Connection connect(InetSocketAddress address, Function<Connection, Connection.Handler> handlers)
             throws IOException {
@@ -262,7 +277,8 @@
 
     /** Serves what comes first at once, and keeps the rest for the end of the selection. */
     private void dispatch(SelectionKey key) {
-        Listener from = key.attachment() instanceof Listener listener ? listener : ((Attachment) key.attachment()).from;
+        Listener from = key.attachment() instanceof Listener listener ? listener
+                : key.attachment() instanceof Attachment attachment ? attachment.from : null;
         if (from != null && from.first) {
             serve(key);
         } else {
@@ -278,6 +294,8 @@
             guarded(listener::accept);
         } else if (key.attachment() instanceof Attachment attachment) {
             guarded(attachment.connection, attachment.connection::ready);
+        } else if (key.attachment() instanceof Datagrams datagrams) {
+            guarded(datagrams::read);
         }
     }
 
@@ -323,7 +341,7 @@
         }
     }
 
-    private static void quietly(AutoCloseable resource) {
+    static void quietly(AutoCloseable resource) {
         try {
             resource.close();
         } catch (Exception e) {
--- a/src/test/java/clovermill/LayersTest.java
+++ b/src/test/java/clovermill/LayersTest.java
@@ -32,7 +32,8 @@
         noClasses().that().resideInAnyPackage("clovermill.net..", "clovermill.store..").should().dependOnClassesThat()
                 .resideInAnyPackage("clovermill", "clovermill.host..", "clovermill.front..", "clovermill.cache..",
                 "clovermill.channel..", "clovermill.ledger..", "clovermill.cli..", "clovermill.settings..",
-                "clovermill.reload..", "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..")
+                "clovermill.reload..", "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..",
+                "clovermill.fleet..")
                 .check(CLASSES);
     }
 
@@ -49,7 +50,7 @@
         noClasses().that().resideInAPackage("clovermill.host..").should().dependOnClassesThat().resideInAnyPackage(
                 "clovermill.front..", "clovermill.cache..", "clovermill.channel..", "clovermill.ledger..",
                 "clovermill.cli..", "clovermill.settings..", "clovermill.reload..", "clovermill.store..",
-                "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..")
+                "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..", "clovermill.fleet..")
                 .check(CLASSES);
     }
 
@@ -61,7 +62,7 @@
 
     @Test
     void subsystemsDoNotKnowOneAnother() {
-        slices().matching("clovermill.(front|ledger|reload|channel|cache|admin|outage|upgrade)..").should()
+        slices().matching("clovermill.(front|ledger|reload|channel|cache|admin|outage|upgrade|fleet)..").should()
                 .notDependOnEachOther()
                 .ignoreDependency(clovermill.channel.Roster.class, clovermill.outage.Outages.class)
                 .ignoreDependency(clovermill.channel.Roster.class, clovermill.cache.CachePool.class).check(CLASSES);
--- /dev/null
+++ b/src/test/java/clovermill/emulator/TalkingFleetTest.java
@@ -0,0 +1,59 @@
+package clovermill.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import clovermill.emulator.TalkingFleet.Case;
+import clovermill.emulator.TalkingFleet.Cut;
+import clovermill.emulator.TalkingFleet.Figures;
+import clovermill.emulator.TalkingFleet.Kill;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Limits and verdicts of a whole fleet while links fail and directors die; all clocks are seconds apart. */
+class TalkingFleetTest {
+
+    private static Case of(int directors, double loss, List<Cut> cuts, List<Kill> kills) {
+        return new Case(directors, 1000, Math.max(1, directors / 10), 2, loss, 80, 45, cuts, kills);
+    }
+
+    private static Figures holds(Case plan) {
+        Figures seen = TalkingFleet.play(plan, 11);
+        assertThat(seen.most()).as("admitted in one second, %s", seen).isLessThanOrEqualTo(seen.bound());
+        assertThat(seen.lostVerdicts()).as("verdicts that somebody lacks, %s", seen).isZero();
+        assertThat(seen.staleMs()).as("the longest way of a verdict, %s", seen)
+                .isLessThanOrEqualTo(seen.staleBoundMs());
+        assertThat(seen.mostAlone()).as("beyond its slice while alone, %s", seen).isLessThanOrEqualTo(1e-9);
+        return seen;
+    }
+
+    @Test
+    void unusedSlicesAreLentToWhoeverIsAskedForMore() {
+        Figures seen = holds(of(20, 0, List.of(), List.of()));
+        assertThat(seen.usedShare()).as("of the limit by two of 20, who own a tenth").isGreaterThan(0.5);
+    }
+
+    @Test
+    void theLimitHoldsThroughAPartitionOf30SecondsAndVerdictsOfBothSidesSurviveIt() {
+        holds(of(20, 0, List.of(new Cut(5, 30, 0, 9)), List.of()));
+    }
+
+    @Test
+    void oneThatIsCutOffAloneAdmitsItsSlice() {
+        holds(of(20, 0.05, List.of(new Cut(8, 20, 0, 1)), List.of()));
+    }
+
+    @Test
+    void threeInTenMessagesLost() {
+        holds(of(20, 0.3, List.of(), List.of()));
+    }
+
+    @Test
+    void oneThatIsKilledMidLeaseAndStartsAnewKnowsWhatItMayHaveLent() {
+        holds(of(10, 0.1, List.of(), List.of(new Kill(10, 0.5, 0), new Kill(12, 0.1, 5), new Kill(20, 3, 7))));
+    }
+
+    @Test
+    void aHundredDirectorsThroughAllOfIt() {
+        holds(of(100, 0.3, List.of(new Cut(5, 20, 0, 50)), List.of(new Kill(8, 1, 3))));
+    }
+}
--- /dev/null
+++ b/src/test/java/clovermill/fleet/MessageCodecTest.java
@@ -0,0 +1,68 @@
+package clovermill.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import clovermill.fleet.MessageCodec.BadMessage;
+import clovermill.fleet.decide.Message;
+import clovermill.fleet.decide.Verdict;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Datagrams of the fleet: what is not whole, ours and signed is one kind of error and nothing else. */
+class MessageCodecTest {
+
+    private static final byte[] KEY = new byte[16];
+    private static final Message FULL = new Message(3, -5, 77, 1234567890123L,
+            IntStream.range(0, 12).mapToObj(i -> new Verdict("cache/" + "x".repeat(50) + i, i % 2 == 0, 9 + i, 65_535))
+                    .toList(),
+            List.of(new Message.Ask(0, -1, 12.5), new Message.Ask(15, 8, 0)), List.of(new Message.Loan(1, 42, 1e9)));
+
+    private final MessageCodec one = new MessageCodec(3, KEY);
+    private final MessageCodec other = new MessageCodec(4, KEY);
+
+    @Test
+    void whatIsWrittenIsRead() throws BadMessage {
+        ByteBuffer datagram = one.write(4, FULL);
+        assertThat(datagram.remaining()).isLessThanOrEqualTo(MessageCodec.MOST_BYTES);
+        assertThat(other.read(datagram)).isEqualTo(FULL);
+    }
+
+    @Test
+    void anotherKeyOrAnotherDirectorIsNone() {
+        assertThatThrownBy(() -> new MessageCodec(4, new byte[17]).read(one.write(4, FULL)))
+                .isInstanceOf(BadMessage.class).hasMessageContaining("not signed");
+        assertThatThrownBy(() -> new MessageCodec(5, KEY).read(one.write(4, FULL)))
+                .isInstanceOf(BadMessage.class).hasMessageContaining("another director");
+    }
+
+    @Test
+    void signedNonsenseIsNone() {
+        Message forged = new Message(3, 1, 1, 1, List.of(), List.of(new Message.Ask(0, 1, Double.NaN)), List.of());
+        assertThatThrownBy(() -> other.read(one.write(4, forged))).hasMessage("an amount that is none");
+        Message nothing = new Message(3, 1, 1, 1, List.of(new Verdict("", true, 1, 1)), List.of(), List.of());
+        assertThatThrownBy(() -> other.read(one.write(4, nothing))).hasMessageStartingWith("a verdict on nothing");
+    }
+
+    @Property(tries = 2000)
+    void aDatagramThatWasCutOrChangedNeverPassesNorFailsOtherwise(@ForAll long seed,
+            @ForAll @IntRange(max = 2) int how) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ByteBuffer whole = one.write(4, FULL);
+        byte[] bytes = Arrays.copyOf(whole.array(), whole.limit());
+        switch (how) {
+            case 0 -> bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+            case 1 -> bytes = Arrays.copyOf(bytes, random.nextInt(bytes.length));
+            default -> random.nextBytes(bytes);
+        }
+        ByteBuffer spoilt = ByteBuffer.wrap(bytes);
+        assertThatThrownBy(() -> other.read(spoilt)).isInstanceOf(BadMessage.class);
+    }
+}
--- a/src/test/java/clovermill/prove/CacheFleet.java
+++ b/src/test/java/clovermill/prove/CacheFleet.java
@@ -13,7 +13,9 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,8 +29,8 @@
 
 /**
  * Stand-in caches on sockets, each at an address of its own and as busy as the emulator's model says, and a command
- * channel for each director; faults are put in while they run. One thread plays all of them; what is asked from others
- * is done there.
+ * channel for each director; faults are put in while they run. One thread plays all of them; what is asked from
+ * others is done there.
  */
 final class CacheFleet implements AutoCloseable {
 
@@ -47,6 +49,7 @@
         private final long startedMs;
         private long drainToldUs = Long.MAX_VALUE;
         private double busiest;
+        private long lastUs;
 
         Box(EmulatedCache model, EventLoop.Listener listener, long startedMs) {
             this.model = model;
@@ -71,6 +74,10 @@
     private final double workUs;
     private final ByteBuffer body = ByteBuffer.wrap("x".repeat(BODY).getBytes(StandardCharsets.ISO_8859_1));
     private final Set<String> orders = new HashSet<>();
+    /** Requests by when they first came, whichever cache they came to. */
+    private final Set<String> ids = new HashSet<>();
+    private final Deque<Long> lately = new ArrayDeque<>();
+    private int mostLately;
     private final List<Double> spreads = new ArrayList<>();
     private boolean frozen;
     private boolean mute;
@@ -166,6 +173,25 @@
         });
     }
 
+    /** When the last request came to a cache, on the fleet's clock. */
+    long lastUs(String id) throws Exception {
+        return ask(() -> boxes.get(id).lastUs);
+    }
+
+    /** The most requests that came within one second since this was last asked. */
+    int mostInASecond() throws Exception {
+        return ask(() -> {
+            int most = mostLately;
+            mostLately = 0;
+            lately.clear();
+            return most;
+        });
+    }
+
+    long nowUs() {
+        return clock.micros();
+    }
+
     /** Figures so far; seconds counted are forgotten. */
     Map<String, Double> figures() throws Exception {
         return ask(() -> {
@@ -249,6 +275,14 @@
             String token = field(fields, "token");
             boolean fills = field(fields, "src") != null && !field(fields, "src").equals(box.model.id);
             double work = token == null ? workUs : ORDER_WORK_US;
+            box.lastUs = now;
+            if (ids.add(id)) {
+                lately.add(now);
+                while (lately.peek() <= now - SECOND_US) {
+                    lately.poll();
+                }
+                mostLately = Math.max(mostLately, lately.size());
+            }
             drainsBroken += now > box.drainToldUs + GRACE_US && box.model.leaves ? 1 : 0;
             overruns += box.model.pushedOver(now, work) ? 1 : 0;
             if (box.model.full()) {
--- /dev/null
+++ b/src/test/java/clovermill/prove/DirectorProcess.java
@@ -0,0 +1,122 @@
+package clovermill.prove;
+
+import clovermill.CacheRouter.ColdRule;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/** A process of the program before the stand-in caches, and the load of its clients. */
+final class DirectorProcess {
+
+    /** Time of sending one part, in the stand-in caches and by the configuration: 400 KB at 5,000 a second. */
+    static final double WORK_US = 80_000;
+    static final int KB = 400;
+    static final ColdRule COLD = new ColdRule(0.25, 6_000_000, 3, 3_000_000);
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final long READY_MS = 20_000;
+
+    Process process;
+    int port;
+    private int admin;
+    Load load;
+
+    /** Starts one of so many directors of a location; {@code settings} of our own may be null. */
+    static DirectorProcess start(Path root, CacheFleet fleet, int number, int directors, Path settings)
+            throws Exception {
+        Map.Entry<String, String> channel = fleet.channel();
+        ObjectMapper mapper = new ObjectMapper();
+        ObjectNode config = (ObjectNode) mapper.readTree(Files.readString(Path.of("src/test/resources/director.json"))
+                .replaceAll("\\$\\{[^}]*}", channel.getKey()));
+        DirectorProcess director = new DirectorProcess();
+        director.port = free();
+        director.admin = free();
+        config.put("name", "n" + number).put("listen", "127.0.0.1:" + director.port)
+                .put("admin", "127.0.0.1:" + director.admin).put("seed", String.format("%016x", 77 + number));
+        ((ObjectNode) config.get("limits")).put("sockets", 512);
+        config.set("known", mapper.readTree(channel.getValue()));
+        ObjectNode told = (ObjectNode) config.get("settings");
+        told.put("position", number).put("fleet-size", directors);
+        ObjectNode family = (ObjectNode) told.get("family-info");
+        family.put("says", "hit").put("straight", false).put("shares-fills", false).put("peers-fill", "none");
+        family.putArray("crew-by-zone").add(0).add(directors);
+        family.putArray("zone-link-kb-per-s").add(0).add(60_000);
+        ((ObjectNode) told.get("rules")).put("drain-grace-us", 250_000).put("cold-from", COLD.from())
+                .put("cold-us", COLD.warmUs()).put("tip-multiple", COLD.multiple());
+        Path file = Files.createDirectories(root.resolve("n" + number)).resolve("config.json");
+        Files.writeString(file, mapper.writeValueAsString(config));
+        List<String> command = new ArrayList<>(List.of(JAVA, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx88m",
+                "-cp", System.getProperty("java.class.path"), "clovermill.cli.Main", "serve"));
+        if (settings != null) {
+            command.addAll(List.of("--settings", settings.toString()));
+        }
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", Files.createTempDirectory(file.getParent(), "tmp").toString());
+        builder.environment().remove("BALANCER_LISTEN");
+        director.process = builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log(root, number).toFile())).start();
+        return director;
+    }
+
+    /** What all starts of a director have logged. */
+    static Path log(Path root, int number) {
+        return root.resolve("n" + number + ".log");
+    }
+
+    static int free() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** Waits until it serves. */
+    void ready() throws Exception {
+        for (long untilNs = System.nanoTime() + READY_MS * 1_000_000; System.nanoTime() < untilNs; Thread.sleep(20)) {
+            if (call("GET /ready HTTP/1.1\r\n\r\n")) {
+                return;
+            }
+        }
+        throw new IllegalStateException("a director is not ready");
+    }
+
+    /** Has an operator take a cache out, or put it back; whether the director said yes. */
+    boolean outage(String id, boolean out) {
+        String body = "{\"id\":\"" + id + "\"}";
+        return call("PUT /caches/" + (out ? "disable" : "enable") + " HTTP/1.1\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body);
+    }
+
+    private boolean call(String text) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", admin), 1000);
+            socket.setSoTimeout(1000);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            byte[] answer = socket.getInputStream().readAllBytes();
+            return new String(answer, StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200");
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    /** Ends all processes that still run and removes their files. */
+    static void end(List<DirectorProcess> all, Path root) throws Exception {
+        for (DirectorProcess each : all) {
+            each.process.destroyForcibly().waitFor();
+        }
+        try (Stream<Path> files = Files.walk(root)) {
+            files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        }
+    }
+}
--- a/src/test/java/clovermill/prove/SpreadProof.java
+++ b/src/test/java/clovermill/prove/SpreadProof.java
@@ -1,28 +1,18 @@
 package clovermill.prove;
 
-import clovermill.CacheRouter.ColdRule;
 import clovermill.emulator.Emulation;
 import clovermill.emulator.Plan;
 import clovermill.emulator.Plan.Fault;
 import clovermill.emulator.Tally;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 /**
  * The long proof of even load ({@code make prove-spread}): the emulator at 10, 100 and 1,000 directors through every
@@ -30,13 +20,6 @@
  */
 public final class SpreadProof {
 
-    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-    private static final long READY_MS = 20_000;
-    /** Time of sending one part, in the stand-in caches and by the configuration: 400 KB at 5,000 a second. */
-    private static final double WORK_US = 80_000;
-    private static final int KB = 400;
-    private static final ColdRule COLD = new ColdRule(0.25, 6_000_000, 3, 3_000_000);
-
     private final Map<String, Object> figures = new LinkedHashMap<>();
     private final List<String> broken = new ArrayList<>();
 
@@ -125,26 +108,19 @@
 
     // ---- Processes --------------------------------------------------------------------------------
 
-    /** A director process, its clients' port and the load on it. */
-    private static final class Running {
-        Process process;
-        int port;
-        int admin;
-        Load load;
-    }
-
     private void processes(int directors, int perSecond, long phaseMs) throws Exception {
-        List<Running> all = new ArrayList<>();
+        List<DirectorProcess> all = new ArrayList<>();
         List<Load> ended = new ArrayList<>();
-        try (CacheFleet fleet = new CacheFleet(5, 6, WORK_US, COLD)) {
+        try (CacheFleet fleet = new CacheFleet(5, 6, DirectorProcess.WORK_US, DirectorProcess.COLD)) {
             for (int i = 0; i < directors; i++) {
-                all.add(start(fleet, i, directors));
+                all.add(DirectorProcess.start(root, fleet, i, directors, null));
             }
-            for (Running each : all) {
-                ready(each);
+            for (DirectorProcess each : all) {
+                each.ready();
                 // The first carries three times the others' load; no two ask under the same ids.
                 int number = all.indexOf(each);
-                each.load = new Load(each.port, number == 0 ? 3 * perSecond : perSecond, 7 + number, KB, 3);
+                each.load = new Load(each.port, number == 0 ? 3 * perSecond : perSecond, 7 + number,
+                        DirectorProcess.KB, 3);
             }
             Thread.sleep(2 * phaseMs);
             fleet.freeze(true);
@@ -155,36 +131,31 @@
             fleet.slow("s-2", 1);
             fleet.mute(true);
             fleet.join("s-9", 6);
-            Running killed = all.get(directors - 1);
+            DirectorProcess killed = all.get(directors - 1);
             killed.process.destroyForcibly().waitFor();
             killed.load.close();
             ended.add(killed.load);
             Thread.sleep(phaseMs);
             fleet.mute(false);
-            Running next = start(fleet, directors - 1, directors);
+            DirectorProcess next = DirectorProcess.start(root, fleet, directors - 1, directors, null);
             all.set(directors - 1, next);
-            ready(next);
-            next.load = new Load(next.port, perSecond, 7 + directors, KB, 3);
+            next.ready();
+            next.load = new Load(next.port, perSecond, 7 + directors, DirectorProcess.KB, 3);
             fleet.leave("s-1");
             Thread.sleep(2 * phaseMs);
             judge(all, ended, fleet);
         } finally {
-            for (Running each : all) {
-                each.process.destroyForcibly().waitFor();
-            }
-            try (Stream<Path> files = Files.walk(root)) {
-                files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
-            }
+            DirectorProcess.end(all, root);
         }
     }
 
-    private void judge(List<Running> all, List<Load> killed, CacheFleet fleet) throws Exception {
+    private void judge(List<DirectorProcess> all, List<Load> killed, CacheFleet fleet) throws Exception {
         long asked = 0;
         long served = 0;
         long lost = 0;
         long twice = 0;
         int badEnds = 0;
-        for (Running each : all) {
+        for (DirectorProcess each : all) {
             each.load.drain(7_000);
             each.process.destroy();
             badEnds += each.process.waitFor(10, TimeUnit.SECONDS) && each.process.exitValue() == 0 ? 0 : 1;
@@ -213,59 +184,4 @@
         hold("the cache that joined was not used", seen.get("busiest_s-9") > 0);
         hold("a process's cache was idle", seen.get("idle_s") == 0);
     }
-
-    private Running start(CacheFleet fleet, int number, int directors) throws Exception {
-        Map.Entry<String, String> channel = fleet.channel();
-        ObjectMapper mapper = new ObjectMapper();
-        ObjectNode config = (ObjectNode) mapper.readTree(Files.readString(Path.of("src/test/resources/director.json"))
-                .replaceAll("\\$\\{[^}]*}", channel.getKey()));
-        Running running = new Running();
-        running.port = free();
-        running.admin = free();
-        config.put("name", "n" + number).put("listen", "127.0.0.1:" + running.port)
-                .put("admin", "127.0.0.1:" + running.admin).put("seed", String.format("%016x", 77 + number));
-        ((ObjectNode) config.get("limits")).put("sockets", 512);
-        config.set("known", mapper.readTree(channel.getValue()));
-        ObjectNode settings = (ObjectNode) config.get("settings");
-        settings.put("position", number).put("fleet-size", directors);
-        ObjectNode family = (ObjectNode) settings.get("family-info");
-        family.put("says", "hit").put("straight", false).put("shares-fills", false).put("peers-fill", "none");
-        family.putArray("crew-by-zone").add(0).add(directors);
-        family.putArray("zone-link-kb-per-s").add(0).add(60_000);
-        ((ObjectNode) settings.get("rules")).put("drain-grace-us", 250_000).put("cold-from", COLD.from())
-                .put("cold-us", COLD.warmUs()).put("tip-multiple", COLD.multiple());
-        Path file = Files.createDirectories(root.resolve("n" + number)).resolve("config.json");
-        Files.writeString(file, mapper.writeValueAsString(config));
-        ProcessBuilder builder = new ProcessBuilder(JAVA, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx88m",
-                "-cp", System.getProperty("java.class.path"), "clovermill.cli.Main", "serve");
-        builder.environment().put("BALANCER_CONFIG", file.toString());
-        builder.environment().put("TMPDIR", file.getParent().toString());
-        builder.environment().remove("BALANCER_LISTEN");
-        running.process = builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(root.resolve("n" + number + ".log").toFile())).start();
-        return running;
-    }
-
-    private static int free() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
-    }
-
-    private static void ready(Running running) throws Exception {
-        for (long untilNs = System.nanoTime() + READY_MS * 1_000_000; System.nanoTime() < untilNs; Thread.sleep(20)) {
-            try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress("127.0.0.1", running.admin), 1000);
-                socket.setSoTimeout(1000);
-                socket.getOutputStream().write("GET /ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-                byte[] answer = socket.getInputStream().readAllBytes();
-                if (new String(answer, StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200")) {
-                    return;
-                }
-            } catch (IOException notYet) {
-                continue;
-            }
-        }
-        throw new IllegalStateException("a director is not ready");
-    }
 }
