--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -77,7 +77,8 @@
         ledger = kept == null ? null : Ledger.open(kept, new Ledger.Director(config.name(), config.classes(),
                 settings.parentKind(), settings.originKind(), settings.allowed().maxOpen()), clock, deadlines,
                 loop::post, Volume.local());
-        fleet = fellows == null ? null : new Fleet(fellows, config.classes(), clock, deadlines, ledger);
+        fleet = fellows == null ? null : new Fleet(fellows, config.classes(), settings.answerSlackUs(), clock,
+                deadlines, ledger);
         Host host = new Host(new Policy(settings, config.seed()), settings, clock, deadlines, pool,
                 fleet == null ? ledger : fleet);
         Roster roster = new Roster(clock, pool, host, new Outages(), settings.originKind());
--- a/src/main/java/clovermill/emulator/TalkingFleet.java
+++ b/src/main/java/clovermill/emulator/TalkingFleet.java
@@ -88,7 +88,8 @@
         }
 
         void start() {
-            member = new FleetMember(place(number), List.of(terms), random.split(), verdict -> { }, clock());
+            member = new FleetMember(place(number), List.of(new LeasedRate(terms, clock())), random.split(),
+                    verdict -> { }, clock());
             tickUs = nowUs + phaseUs;
         }
     }
@@ -216,11 +217,11 @@
             Peer peer = peers.get(i);
             peer.due += plan.offered() * plan.limit() / plan.hot() * STEP_US / SECOND_US;
             for (; peer.due >= 1; peer.due--) {
-                now += peer.member != null && peer.member.admit(0, peer.clock()) ? 1 : 0;
+                now += peer.member != null && peer.member.slice(0).admit(peer.clock(), 0) ? 1 : 0;
             }
             if (peer.member != null && alone(i)) {
                 double slice = terms.perSecond() / terms.directors();
-                mostAlone = Math.max(mostAlone, peer.member.rate(0, peer.clock()) - slice);
+                mostAlone = Math.max(mostAlone, peer.member.slice(0).amount(peer.clock()) - slice);
             }
         }
         admitted += now;
--- a/src/main/java/clovermill/fleet/Fleet.java
+++ b/src/main/java/clovermill/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import clovermill.fleet.decide.FleetMember;
 import clovermill.fleet.decide.FleetMember.Outgoing;
 import clovermill.fleet.decide.Message;
+import clovermill.fleet.decide.Slice;
 import clovermill.fleet.decide.Verdict;
 import clovermill.host.Ask;
 import clovermill.host.Audit;
@@ -17,7 +18,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 
@@ -41,7 +41,8 @@
     private final FleetMember member;
     private final MessageCodec codec;
     private final List<InetSocketAddress> addresses;
-    private final List<Integer> classOfLimit = new ArrayList<>();
+    private final List<FleetSettings.Limit> limits;
+    private final long slackUs;
     private final Audit next;
     private Datagrams socket;
     private BiConsumer<String, Boolean> caches = (id, out) -> { };
@@ -49,8 +50,12 @@
     private long ignored;
     private long toldUs = Long.MIN_VALUE / 2;
 
-    /** {@code next} hears of all requests too, and is asked first; null for none. */
-    public Fleet(FleetSettings settings, List<String> classes, Clock clock, Deadlines deadlines, Audit next) {
+    /**
+     * {@code next} hears of all requests too, and is asked first; null for none. A request is over {@code slackUs}
+     * after its client has given up, at the latest.
+     */
+    public Fleet(FleetSettings settings, List<String> classes, long slackUs, Clock clock, Deadlines deadlines,
+            Audit next) {
         settings.check(classes);
         this.clock = clock;
         this.deadlines = deadlines;
@@ -58,9 +63,10 @@
         this.place = settings.place();
         this.addresses = settings.addresses();
         this.codec = new MessageCodec(place.self(), settings.key());
-        settings.limits().forEach(limit -> classOfLimit.add(limit.requestClass() == null ? -1
-                : classes.indexOf(limit.requestClass())));
-        this.member = new FleetMember(place, settings.terms(), new SecureRandom(), this::holds, clock.micros());
+        this.limits = settings.limits();
+        this.slackUs = slackUs;
+        this.member = new FleetMember(place, settings.slices(clock.micros()), new SecureRandom(), this::holds,
+                clock.micros());
     }
 
     /**
@@ -132,30 +138,42 @@
         }
     }
 
-    /** What this director may admit by second under the limits, in their order, for operators. */
-    public List<Double> rates() {
-        List<Double> rates = new ArrayList<>();
-        for (int i = 0; i < classOfLimit.size(); i++) {
-            rates.add(member.rate(i, clock.micros()));
-        }
-        return rates;
-    }
-
     @Override
     public long turnsAway(Ask ask) {
         long first = next == null ? TAKEN : next.turnsAway(ask);
-        for (int i = 0; first == TAKEN && i < classOfLimit.size(); i++) {
-            boolean meant = classOfLimit.get(i) < 0 || classOfLimit.get(i) == ask.requestClass();
-            if (meant && !member.admit(i, clock.micros())) {
-                double perMs = member.rate(i, clock.micros()) / 1000;
+        long now = clock.micros();
+        for (int i = 0; first == TAKEN && i < limits.size(); i++) {
+            Slice slice = member.slice(i);
+            if (counts(limits.get(i), ask) && !slice.admit(now, now + ask.waitUs() + slackUs)) {
+                over(ask, i);
+                double perMs = limits.get(i).open() == null ? slice.amount(now) / 1000 : 1.0 / MOST_AFTER_MS;
                 return (long) Math.max(LEAST_AFTER_MS, Math.min(MOST_AFTER_MS, 1 / perMs));
             }
         }
         return first;
     }
 
+    /** A request that was admitted under the first so many limits is over, or was never begun. */
+    private void over(Ask ask, int count) {
+        for (int i = 0; i < count; i++) {
+            if (counts(limits.get(i), ask)) {
+                member.slice(i).over();
+            }
+        }
+    }
+
+    private static boolean counts(FleetSettings.Limit limit, Ask ask) {
+        return (limit.requestClass() == null || limit.requestClass().equals(ask.className()))
+                && (limit.groups() == null || ask.group() >= limit.groups().get(0)
+                && ask.group() <= limit.groups().get(1))
+                && (!limit.repeats() || ask.repeat());
+    }
+
     @Override
     public void ended(Usage usage) {
+        if (usage.admitted()) {
+            over(usage.ask(), limits.size());
+        }
         if (next != null) {
             next.ended(usage);
         }
--- a/src/main/java/clovermill/fleet/FleetSettings.java
+++ b/src/main/java/clovermill/fleet/FleetSettings.java
@@ -1,7 +1,9 @@
 package clovermill.fleet;
 
 import clovermill.fleet.decide.FleetMember;
+import clovermill.fleet.decide.LeasedOpen;
 import clovermill.fleet.decide.LeasedRate;
+import clovermill.fleet.decide.Slice;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -21,9 +23,12 @@
         @JsonProperty("interval_ms") Long intervalMs, Integer fanout, @JsonProperty("term_ms") Long termMs,
         @JsonProperty("burst_ms") Long burstMs, Double drift, List<Limit> limits) {
 
-    /** A limit on all directors together, for one class or, where that is absent, for every request. */
-    public record Limit(String name, @JsonProperty("class") String requestClass,
-            @JsonProperty("per_second") double perSecond) { }
+    /**
+     * A limit on all directors together: requests by second, or requests open at once. It counts those of a class, of
+     * a range of groups (a tenant's), or only clients' repeats, as far as it says so; else every request.
+     */
+    public record Limit(String name, @JsonProperty("class") String requestClass, List<Integer> groups, boolean repeats,
+            @JsonProperty("per_second") Double perSecond, Integer open) { }
 
     private static final int LEAST_KEY = 16;
     private static final long MOST_TERM_MS = 60_000;
@@ -40,8 +45,9 @@
                 throw new IllegalArgumentException("/fleet/limits: " + limit.name + ": no class is called "
                         + limit.requestClass);
             }
-            if (!(limit.perSecond > 0)) {
-                throw new IllegalArgumentException("/fleet/limits: " + limit.name + ": per_second has to be above 0");
+            if ((limit.perSecond == null) == (limit.open == null)) {
+                throw new IllegalArgumentException("/fleet/limits: " + limit.name
+                        + ": per_second or open, one of them");
             }
         }
         long term = termMs == null ? 2000 : termMs;
@@ -63,10 +69,19 @@
         return new FleetMember.Place(self, directors.size(), interval() * 1000, fanout == null ? 4 : fanout);
     }
 
-    List<LeasedRate.Terms> terms() {
-        return limits().stream().map(limit -> new LeasedRate.Terms(limit.perSecond, directors.size(),
-                (burstMs == null ? 100 : burstMs) / 1000.0, (termMs == null ? 2000 : termMs) * 1000,
-                drift == null ? 0.01 : drift)).toList();
+    /** This director's slices of the limits, in their order. */
+    List<Slice> slices(long nowUs) {
+        double burstS = (burstMs == null ? 100 : burstMs) / 1000.0;
+        long termUs = (termMs == null ? 2000 : termMs) * 1000;
+        double apart = drift == null ? 0.01 : drift;
+        List<Slice> slices = new ArrayList<>();
+        for (Limit limit : limits()) {
+            slices.add(limit.open != null
+                    ? new LeasedOpen(new LeasedOpen.Terms(limit.open, directors.size(), termUs, apart), self, nowUs)
+                    : new LeasedRate(new LeasedRate.Terms(limit.perSecond, directors.size(), burstS, termUs, apart),
+                            nowUs));
+        }
+        return slices;
     }
 
     List<InetSocketAddress> addresses() {
--- a/src/main/java/clovermill/fleet/MessageCodec.java
+++ b/src/main/java/clovermill/fleet/MessageCodec.java
@@ -1,6 +1,5 @@
 package clovermill.fleet;
 
-import clovermill.fleet.decide.FleetMember;
 import clovermill.fleet.decide.Message;
 import clovermill.fleet.decide.Verdict;
 import java.nio.BufferUnderflowException;
@@ -20,8 +19,8 @@
  * <pre>
  * magic:4 "CVF1"  from:2  to:2  boot:8  sequence:8  digest:8
  * count:1, for each verdict: size:1 subject  on:1  version:8  origin:2
- * count:1, for each ask:     limit:1  nonce:8  per-second:8 (IEEE 754)
- * count:1, for each loan:    limit:1  nonce:8  per-second:8
+ * count:1, for each ask:     limit:1  nonce:8  amount:8 (IEEE 754)
+ * count:1, for each loan:    limit:1  nonce:8  amount:8
  * signature:16
  * </pre>
  *
@@ -69,9 +68,9 @@
                     .putShort((short) each.origin());
         }
         out.put((byte) message.asks().size());
-        message.asks().forEach(each -> out.put((byte) each.limit()).putLong(each.nonce()).putDouble(each.perSecond()));
+        message.asks().forEach(each -> out.put((byte) each.limit()).putLong(each.nonce()).putDouble(each.amount()));
         out.put((byte) message.loans().size());
-        message.loans().forEach(each -> out.put((byte) each.limit()).putLong(each.nonce()).putDouble(each.perSecond()));
+        message.loans().forEach(each -> out.put((byte) each.limit()).putLong(each.nonce()).putDouble(each.amount()));
         mac.update(out.array(), 0, out.position());
         return out.put(mac.doFinal(), 0, SIGNATURE).flip();
     }
--- a/src/main/java/clovermill/fleet/decide/FleetMember.java
+++ b/src/main/java/clovermill/fleet/decide/FleetMember.java
@@ -79,20 +79,20 @@
     private final Listener listener;
     private final long boot;
     private final Verdicts verdicts;
-    private final List<LeasedRate.Terms> terms;
-    private final List<LeasedRate> limits = new ArrayList<>();
+    private final List<Slice> limits;
     private final List<Map<Long, Long>> asked = new ArrayList<>();
     private final Fellow[] fellows;
     private final List<Integer> turn = new ArrayList<>();
     private final Map<String, News> news = new LinkedHashMap<>();
     private long ignored;
 
-    public FleetMember(Place place, List<LeasedRate.Terms> terms, RandomGenerator random, Listener listener,
+    /** {@code limits} are this director's slices, in the same order at all directors. */
+    public FleetMember(Place place, List<? extends Slice> limits, RandomGenerator random, Listener listener,
             long nowUs) {
         this.place = place;
         this.random = random;
         this.listener = listener;
-        this.terms = List.copyOf(terms);
+        this.limits = List.copyOf(limits);
         this.boot = random.nextLong();
         this.verdicts = new Verdicts(place.self());
         this.fellows = new Fellow[place.directors()];
@@ -100,10 +100,7 @@
             fellows[i] = new Fellow();
             fellows[i].heardUs = nowUs;
         }
-        for (LeasedRate.Terms each : terms) {
-            limits.add(new LeasedRate(each, nowUs));
-            asked.add(new LinkedHashMap<>());
-        }
+        limits.forEach(each -> asked.add(new LinkedHashMap<>()));
     }
 
     /**
@@ -119,14 +116,9 @@
         limits.forEach(limit -> limit.startAnew(nowUs));
     }
 
-    /** Whether one more is admitted under a limit. */
-    public boolean admit(int limit, long nowUs) {
-        return limits.get(limit).admit(nowUs);
-    }
-
-    /** What it may admit by second under a limit now. */
-    public double rate(int limit, long nowUs) {
-        return limits.get(limit).rate(nowUs);
+    /** This director's slice of a limit. */
+    public Slice slice(int limit) {
+        return limits.get(limit);
     }
 
     /** A verdict that is said to this director; false if it held already or there is no place for it. */
@@ -192,13 +184,13 @@
             Long askedUs = loan.limit() < 0 || loan.limit() >= asked.size() ? null
                     : asked.get(loan.limit()).remove(loan.nonce());
             if (askedUs != null) {
-                limits.get(loan.limit()).borrow(loan.perSecond(), askedUs, nowUs);
+                limits.get(loan.limit()).borrow(loan.amount(), askedUs, nowUs);
             }
         }
         List<Message.Loan> loans = new ArrayList<>();
         for (Message.Ask ask : message.asks()) {
             if (ask.limit() >= 0 && ask.limit() < limits.size()) {
-                double given = limits.get(ask.limit()).lend(ask.perSecond(), nowUs);
+                double given = limits.get(ask.limit()).lend(ask.amount(), nowUs);
                 if (given > 0) {
                     loans.add(new Message.Loan(ask.limit(), ask.nonce(), given));
                 }
@@ -257,7 +249,7 @@
                     oldest.next();
                     oldest.remove();
                 }
-                asks.add(new Message.Ask(i, nonce, Math.min(lacks, terms.get(i).slice())));
+                asks.add(new Message.Ask(i, nonce, Math.min(lacks, limits.get(i).most())));
             }
         }
         return asks;
--- a/src/main/java/clovermill/fleet/decide/LeasedRate.java
+++ b/src/main/java/clovermill/fleet/decide/LeasedRate.java
@@ -1,8 +1,5 @@
 package clovermill.fleet.decide;
 
-import java.util.ArrayList;
-import java.util.List;
-
 /**
  * One director's part of a limit that the whole fleet keeps: a slice of its own, less what it has lent to others,
  * plus what it was lent, each for a term.
@@ -16,7 +13,7 @@
  * <p>Each slice fills a token bucket. In any time of w seconds all n directors together admit at most
  * {@code limit x (w + burst) + n}: see {@link #most}. Not thread-safe; times are microseconds of the owner's clock.
  */
-public final class LeasedRate {
+public final class LeasedRate implements Slice {
 
     /**
      * Figures that all directors of a fleet share: the limit by second, how many directors there are, seconds of its
@@ -37,19 +34,15 @@
 
     /** Part of its slice that a director never lends: what it admits without a word from anybody. */
     static final double KEPT = 0.2;
-    /** Loans that are remembered each way; at the bound nothing more is lent or taken. */
-    static final int MOST_LOANS = 256;
     /** What a director keeps for itself beyond what it was asked for of late, and asks for when it lacks. */
     private static final double MARGIN = 1.25;
     private static final double DEMAND_US = 1_000_000;
     private static final double S = 1e6;
 
-    private record Loan(double perSecond, long untilUs) { }
-
     private final Terms terms;
     private long startedUs;
-    private final List<Loan> lent = new ArrayList<>();
-    private final List<Loan> borrowed = new ArrayList<>();
+    private final Loans lent = new Loans();
+    private final Loans borrowed = new Loans();
     private double tokens;
     private long filledUs;
     private double demand;
@@ -62,7 +55,7 @@
         this.demandUs = nowUs;
     }
 
-    /** Takes it that somebody else may still use and lend this slice: all that is ever lent is kept back for a term. */
+    @Override
     public void startAnew(long nowUs) {
         fill(nowUs);
         startedUs = nowUs;
@@ -74,7 +67,25 @@
         return terms.perSecond() * (seconds + terms.burstS()) + terms.directors();
     }
 
-    /** Whether one more is admitted now. */
+    @Override
+    public boolean admit(long nowUs, long untilUs) {
+        return admit(nowUs);
+    }
+
+    @Override
+    public void over() { }
+
+    @Override
+    public double amount(long nowUs) {
+        return rate(nowUs);
+    }
+
+    @Override
+    public double most() {
+        return terms.slice();
+    }
+
+    /** Whether one more is admitted now; a rate does not ask when it is over. */
     public boolean admit(long nowUs) {
         wanted(nowUs);
         demand += S / DEMAND_US;
@@ -92,37 +103,37 @@
         return present(nowUs);
     }
 
-    /** How much more by second it could use, 0 where its slice does. */
+    @Override
     public double lacks(long nowUs) {
         double more = MARGIN * wanted(nowUs) - rate(nowUs);
-        return borrowed.size() < MOST_LOANS ? Math.max(0, more) : 0;
+        return borrowed.full() ? 0 : Math.max(0, more);
     }
 
     /** How much by second it could lend now. */
     public double spare(long nowUs) {
         fill(nowUs);
         boolean knows = nowUs - startedUs >= terms.lentUs();
-        double lendable = (1 - KEPT) * terms.slice() - sum(lent);
-        double unused = terms.slice() - sum(lent) - MARGIN * wanted(nowUs);
-        return !knows || lent.size() >= MOST_LOANS ? 0 : Math.max(0, Math.min(lendable, unused));
+        double lendable = (1 - KEPT) * terms.slice() - lent.sum();
+        double unused = terms.slice() - lent.sum() - MARGIN * wanted(nowUs);
+        return !knows || lent.full() ? 0 : Math.max(0, Math.min(lendable, unused));
     }
 
-    /** Lends up to so much; what it returns counts as gone from now on, whether the answer arrives or not. */
+    @Override
     public double lend(double asked, long nowUs) {
         double given = asked > 0 ? Math.min(asked, spare(nowUs)) : 0;
         if (given > 0) {
-            lent.add(new Loan(given, nowUs + terms.lentUs()));
+            lent.add(given, nowUs + terms.lentUs());
             cap(nowUs);
         }
         return given;
     }
 
-    /** Takes a loan that was asked for at {@code askedUs} of this clock; one whose term is over is none. */
+    @Override
     public void borrow(double given, long askedUs, long nowUs) {
         fill(nowUs);
         boolean lasts = askedUs + terms.termUs() > nowUs;
-        if (lasts && given > 0 && given <= terms.perSecond() && borrowed.size() < MOST_LOANS) {
-            borrowed.add(new Loan(given, askedUs + terms.termUs()));
+        if (lasts && given > 0 && given <= terms.perSecond() && !borrowed.full()) {
+            borrowed.add(given, askedUs + terms.termUs());
         }
     }
 
@@ -139,39 +150,24 @@
             long until = Math.min(nowUs, nextChangeUs());
             tokens += present(filledUs) * (until - filledUs) / S;
             filledUs = until;
-            long at = until;
-            lent.removeIf(loan -> loan.untilUs <= at);
-            borrowed.removeIf(loan -> loan.untilUs <= at);
-            cap(at);
+            lent.end(until);
+            borrowed.end(until);
+            cap(until);
         }
     }
 
     private long nextChangeUs() {
         long next = startedUs + terms.lentUs() > filledUs ? startedUs + terms.lentUs() : Long.MAX_VALUE;
-        for (Loan loan : lent) {
-            next = Math.min(next, loan.untilUs);
-        }
-        for (Loan loan : borrowed) {
-            next = Math.min(next, loan.untilUs);
-        }
-        return next;
+        return Math.min(next, Math.min(lent.nextUs(), borrowed.nextUs()));
     }
 
     private double present(long atUs) {
-        double own = atUs - startedUs < terms.lentUs() ? KEPT * terms.slice() : terms.slice() - sum(lent);
-        return own + sum(borrowed);
+        double own = atUs - startedUs < terms.lentUs() ? KEPT * terms.slice() : terms.slice() - lent.sum();
+        return own + borrowed.sum();
     }
 
     /** A bucket holds the burst of the present slice, and one request at least, lest small slices admit nothing. */
     private void cap(long nowUs) {
         tokens = Math.min(tokens, Math.max(1, terms.burstS() * present(nowUs)));
     }
-
-    private static double sum(List<Loan> loans) {
-        double sum = 0;
-        for (Loan loan : loans) {
-            sum += loan.perSecond;
-        }
-        return sum;
-    }
 }
--- a/src/main/java/clovermill/fleet/decide/Message.java
+++ b/src/main/java/clovermill/fleet/decide/Message.java
@@ -10,9 +10,9 @@
 public record Message(int from, long boot, long sequence, long digest, List<Verdict> verdicts, List<Ask> asks,
         List<Loan> loans) {
 
-    /** Asks for so much more by second of a limit; {@code nonce} comes back with what is lent. */
-    public record Ask(int limit, long nonce, double perSecond) { }
+    /** Asks for so much more of a limit; {@code nonce} comes back with what is lent. */
+    public record Ask(int limit, long nonce, double amount) { }
 
-    /** Lends so much by second; the borrower knows by the nonce when it asked. */
-    public record Loan(int limit, long nonce, double perSecond) { }
+    /** Lends so much; the borrower knows by the nonce when it asked. */
+    public record Loan(int limit, long nonce, double amount) { }
 }
--- a/src/test/java/clovermill/fleet/MessageCodecTest.java
+++ b/src/test/java/clovermill/fleet/MessageCodecTest.java
@@ -37,7 +37,7 @@
 
     @Test
     void anotherKeyOrAnotherDirectorIsNone() {
-        assertThatThrownBy(() -> new MessageCodec(4, new byte[17]).read(one.write(4, FULL)))
+        assertThatThrownBy(() -> new MessageCodec(4, "another key here".getBytes()).read(one.write(4, FULL)))
                 .isInstanceOf(BadMessage.class).hasMessageContaining("not signed");
         assertThatThrownBy(() -> new MessageCodec(5, KEY).read(one.write(4, FULL)))
                 .isInstanceOf(BadMessage.class).hasMessageContaining("another director");
--- a/src/test/java/clovermill/fleet/decide/FleetMemberTest.java
+++ b/src/test/java/clovermill/fleet/decide/FleetMemberTest.java
@@ -22,7 +22,8 @@
 
     private FleetMember member(int self, long seed) {
         LeasedRate.Terms terms = new LeasedRate.Terms(300, 3, 0.1, 2_000_000, 0.01);
-        return new FleetMember(new Place(self, 3, INTERVAL, 2), List.of(terms), new SplittableRandom(seed),
+        return new FleetMember(new Place(self, 3, INTERVAL, 2), List.of(new LeasedRate(terms, 0)),
+                new SplittableRandom(seed),
                 verdict -> heard.add(self + " " + verdict.subject() + " " + verdict.on()), 0);
     }
 
@@ -107,17 +108,17 @@
     void aLoanThatNobodyAskedForOrThatComesTwiceIsNone() {
         long now = 5_000_000;
         two.heard(new Message(0, 1, 1, 0, List.of(), List.of(), List.of(new Message.Loan(0, 123, 50))), now);
-        assertThat(two.rate(0, now)).isEqualTo(100);
+        assertThat(two.slice(0).amount(now)).isEqualTo(100);
         for (long at = now - 1_000_000; at < now; at += 2_000) {
-            two.admit(0, at);
+            two.slice(0).admit(at, at);
         }
         Message asks = to(0, two.tick(now));
         assertThat(asks.asks()).hasSize(1);
         Message answer = to(1, one.heard(asks, now));
         two.heard(answer, now);
-        assertThat(two.rate(0, now)).isEqualTo(180);
+        assertThat(two.slice(0).amount(now)).isEqualTo(180);
         two.heard(new Message(0, answer.boot(), answer.sequence() + 1, 0, List.of(), List.of(), answer.loans()), now);
-        assertThat(two.rate(0, now)).as("lent twice by the same nonce").isEqualTo(180);
+        assertThat(two.slice(0).amount(now)).as("lent twice by the same nonce").isEqualTo(180);
     }
 
     @Test
--- a/src/test/java/clovermill/prove/CacheFleet.java
+++ b/src/test/java/clovermill/prove/CacheFleet.java
@@ -78,6 +78,9 @@
     private final Set<String> ids = new HashSet<>();
     private final Deque<Long> lately = new ArrayDeque<>();
     private int mostLately;
+    /** Reads that are out at any cache, by request, and the most there were. */
+    private final Map<String, Integer> reads = new HashMap<>();
+    private int mostReads;
     private final List<Double> spreads = new ArrayList<>();
     private boolean frozen;
     private boolean mute;
@@ -198,6 +201,7 @@
             Map<String, Double> all = new TreeMap<>();
             all.put("max_over_mean", spreads.stream().mapToDouble(d -> d).average().orElse(1));
             all.put("idle_s", (double) idle);
+            all.put("most_reads", (double) mostReads);
             all.put("overruns", (double) overruns);
             all.put("drains_broken", (double) drainsBroken);
             all.put("orders_twice", (double) ordersTwice);
@@ -297,11 +301,16 @@
             ordersTwice += token == null || orders.add(token) ? 0 : 1;
             Transfer transfer = new Transfer(() -> done(id, hit), !hit, work, hit ? 0 : 10_000);
             open.put(id, transfer);
+            if (token == null) {
+                reads.merge(id, 1, Integer::sum);
+                mostReads = Math.max(mostReads, reads.size());
+            }
             box.model.open.add(transfer);
         }
 
         private void done(String id, boolean hit) {
             open.remove(id);
+            reads.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null);
             LoadReport load = mute ? null : box.model.seen(clock.micros(), frozen);
             String gauges = load == null ? "" : String.format(Locale.ROOT,
                     ",gauges=concurrent:%.3f;load_share:%.3f;x1:%.3f", load.held(), load.busy(), load.linkUse());
@@ -314,6 +323,7 @@
         @Override
         void neverMind(String id) {
             box.model.open.remove(open.remove(id));
+            reads.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null);
         }
 
         @Override
@@ -322,6 +332,7 @@
         @Override
         public void closed(IOException cause) {
             box.model.open.removeAll(open.values());
+            open.keySet().forEach(id -> reads.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null));
         }
     }
 
--- a/src/test/java/clovermill/prove/LimitsProof.java
+++ b/src/test/java/clovermill/prove/LimitsProof.java
@@ -24,6 +24,8 @@
     private static final int DIRECTORS = 4;
     private static final int LIMIT = 160;
     private static final int PER_DIRECTOR = 100;
+    /** Reads that all directors together may have out: some twice as many as there are on average. */
+    private static final int OPEN = 8;
     private static final double BURST_S = 0.1;
     /** What a request may take from a director to a cache more than another one: widens the window that is judged. */
     private static final double WAY_S = 0.1;
@@ -204,6 +206,9 @@
         figures.put("proc_stale_bound", STALE_MS);
         figures.put("proc_lost", lost);
         figures.put("proc_ignored_lines", ignoredLines);
+        figures.put("proc_open", Math.round(caches.figures().get("most_reads")));
+        figures.put("proc_open_limit", OPEN);
+        hold("more reads were out than the limit", caches.figures().get("most_reads") <= OPEN);
         hold("requests without one answer", lost == 0);
         hold("spoilt datagrams are not told", ignoredLines > 0);
         hold("spoilt datagrams flood the log", ignoredLines < 40);
@@ -217,7 +222,8 @@
         Files.writeString(settings, new ObjectMapper().writeValueAsString(Map.of("fleet", Map.of(
                 "directors", relay.addresses(self), "self", self, "key_file", key.toString(),
                 "interval_ms", INTERVAL_MS, "term_ms", TERM_MS, "burst_ms", (long) (1000 * BURST_S),
-                "limits", List.of(Map.of("name", "all", "per_second", LIMIT))))));
+                "limits", List.of(Map.of("name", "all", "per_second", LIMIT),
+                        Map.of("name", "reads", "class", "page", "open", OPEN))))));
         return DirectorProcess.start(root, caches, self, DIRECTORS, settings);
     }
 }
