--- /dev/null
+++ b/src/main/java/clovermill/fleet/FleetSettings.java
@@ -0,0 +1,116 @@
+package clovermill.fleet;
+
+import clovermill.fleet.decide.FleetMember;
+import clovermill.fleet.decide.LeasedOpen;
+import clovermill.fleet.decide.LeasedRate;
+import clovermill.fleet.decide.Slice;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+
+/**
+ * The fleet's part of our settings: the addresses of all directors in the same order everywhere, which of them this
+ * one is, the key, how often they talk, and the limits. What is absent has its default.
+ */
+public record FleetSettings(List<String> directors, int self, @JsonProperty("key_file") String keyFile,
+        @JsonProperty("interval_ms") Long intervalMs, Integer fanout, @JsonProperty("term_ms") Long termMs,
+        @JsonProperty("burst_ms") Long burstMs, Double drift, List<Limit> limits) {
+
+    /**
+     * A limit on all directors together: requests by second, or requests open at once. It counts those of a class, of
+     * a range of groups (a tenant's), or only clients' repeats, as far as it says so; else every request.
+     */
+    public record Limit(String name, @JsonProperty("class") String requestClass, List<Integer> groups, boolean repeats,
+            @JsonProperty("per_second") Double perSecond, Integer open) { }
+
+    private static final int LEAST_KEY = 16;
+    private static final long MOST_TERM_MS = 60_000;
+
+    /** Checks what no schema can; an {@link IllegalArgumentException} says which field and why. */
+    public void check(List<String> classes) {
+        if (directors == null || directors.size() < 2 || self < 0 || self >= directors.size()) {
+            throw new IllegalArgumentException("/fleet/self: " + self + " is no place among the directors");
+        }
+        addresses();
+        key();
+        for (Limit limit : limits()) {
+            if (classes != null && limit.requestClass != null && !classes.contains(limit.requestClass)) {
+                throw new IllegalArgumentException("/fleet/limits: " + limit.name + ": no class is called "
+                        + limit.requestClass);
+            }
+            if ((limit.perSecond == null) == (limit.open == null)) {
+                throw new IllegalArgumentException("/fleet/limits: " + limit.name
+                        + ": per_second or open, one of them");
+            }
+        }
+        long term = termMs == null ? 2000 : termMs;
+        if (term > MOST_TERM_MS || term < 2 * interval()) {
+            throw new IllegalArgumentException("/fleet/term_ms: " + term + " is under two intervals, or over a minute");
+        }
+    }
+
+    @Override
+    public List<Limit> limits() {
+        return limits == null ? List.of() : limits;
+    }
+
+    private long interval() {
+        return intervalMs == null ? 200 : intervalMs;
+    }
+
+    FleetMember.Place place() {
+        return new FleetMember.Place(self, directors.size(), interval() * 1000, fanout == null ? 4 : fanout);
+    }
+
+    /** This director's slices of the limits, in their order. */
+    List<Slice> slices(long nowUs) {
+        double burstS = (burstMs == null ? 100 : burstMs) / 1000.0;
+        long termUs = (termMs == null ? 2000 : termMs) * 1000;
+        double apart = drift == null ? 0.01 : drift;
+        List<Slice> slices = new ArrayList<>();
+        for (Limit limit : limits()) {
+            slices.add(limit.open != null
+                    ? new LeasedOpen(new LeasedOpen.Terms(limit.open, directors.size(), termUs, apart), self, nowUs)
+                    : new LeasedRate(new LeasedRate.Terms(limit.perSecond, directors.size(), burstS, termUs, apart),
+                            nowUs));
+        }
+        return slices;
+    }
+
+    List<InetSocketAddress> addresses() {
+        List<InetSocketAddress> all = new ArrayList<>();
+        for (String each : directors) {
+            int cut = each.lastIndexOf(':');
+            try {
+                all.add(new InetSocketAddress(InetAddress.getByName(each.substring(0, cut)),
+                        Integer.parseInt(each.substring(cut + 1))));
+            } catch (IndexOutOfBoundsException | IllegalArgumentException | UnknownHostException bad) {
+                throw new IllegalArgumentException("/fleet/directors: " + each + " is no address:port");
+            }
+        }
+        return all;
+    }
+
+    /** The key: hex digits in a file, 16 bytes at least. */
+    byte[] key() {
+        try {
+            byte[] key = HexFormat.of().parseHex(Files.readString(Path.of(keyFile)).strip());
+            if (key.length < LEAST_KEY) {
+                throw new IllegalArgumentException("/fleet/key_file: " + keyFile + " holds fewer than 16 bytes");
+            }
+            return key;
+        } catch (IOException unreadable) {
+            throw new IllegalArgumentException("/fleet/key_file: " + keyFile + " cannot be read");
+        } catch (IllegalArgumentException bad) {
+            throw bad.getMessage().startsWith("/fleet") ? bad
+                    : new IllegalArgumentException("/fleet/key_file: " + keyFile + " holds no hex digits");
+        }
+    }
+}
--- a/src/test/java/clovermill/prove/CacheFleet.java
+++ b/src/test/java/clovermill/prove/CacheFleet.java
@@ -13,7 +13,9 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,8 +29,8 @@
 
 /**
  * Stand-in caches on sockets, each at an address of its own and as busy as the emulator's model says, and a command
- * channel for each director; faults are put in while they run. One thread plays all of them; what is asked from others
- * is done there.
+ * channel for each director; faults are put in while they run. One thread plays all of them; what is asked from
+ * others is done there.
  */
 final class CacheFleet implements AutoCloseable {
 
@@ -47,6 +49,7 @@
         private final long startedMs;
         private long drainToldUs = Long.MAX_VALUE;
         private double busiest;
+        private long lastUs;
 
         Box(EmulatedCache model, EventLoop.Listener listener, long startedMs) {
             this.model = model;
@@ -71,6 +74,13 @@
     private final double workUs;
     private final ByteBuffer body = ByteBuffer.wrap("x".repeat(BODY).getBytes(StandardCharsets.ISO_8859_1));
     private final Set<String> orders = new HashSet<>();
+    /** Requests by when they first came, whichever cache they came to. */
+    private final Set<String> ids = new HashSet<>();
+    private final Deque<Long> lately = new ArrayDeque<>();
+    private int mostLately;
+    /** Reads that are out at any cache, by request, and the most there were. */
+    private final Map<String, Integer> reads = new HashMap<>();
+    private int mostReads;
     private final List<Double> spreads = new ArrayList<>();
     private boolean frozen;
     private boolean mute;
@@ -166,12 +176,32 @@
         });
     }
 
+    /** When the last request came to a cache, on the fleet's clock. */
+    long lastUs(String id) throws Exception {
+        return ask(() -> boxes.get(id).lastUs);
+    }
+
+    /** The most requests that came within one second since this was last asked. */
+    int mostInASecond() throws Exception {
+        return ask(() -> {
+            int most = mostLately;
+            mostLately = 0;
+            lately.clear();
+            return most;
+        });
+    }
+
+    long nowUs() {
+        return clock.micros();
+    }
+
     /** Figures so far; seconds counted are forgotten. */
     Map<String, Double> figures() throws Exception {
         return ask(() -> {
             Map<String, Double> all = new TreeMap<>();
             all.put("max_over_mean", spreads.stream().mapToDouble(d -> d).average().orElse(1));
             all.put("idle_s", (double) idle);
+            all.put("most_reads", (double) mostReads);
             all.put("overruns", (double) overruns);
             all.put("drains_broken", (double) drainsBroken);
             all.put("orders_twice", (double) ordersTwice);
@@ -249,6 +279,14 @@
             String token = field(fields, "token");
             boolean fills = field(fields, "src") != null && !field(fields, "src").equals(box.model.id);
             double work = token == null ? workUs : ORDER_WORK_US;
+            box.lastUs = now;
+            if (ids.add(id)) {
+                lately.add(now);
+                while (lately.peek() <= now - SECOND_US) {
+                    lately.poll();
+                }
+                mostLately = Math.max(mostLately, lately.size());
+            }
             drainsBroken += now > box.drainToldUs + GRACE_US && box.model.leaves ? 1 : 0;
             overruns += box.model.pushedOver(now, work) ? 1 : 0;
             if (box.model.full()) {
@@ -263,11 +301,16 @@
             ordersTwice += token == null || orders.add(token) ? 0 : 1;
             Transfer transfer = new Transfer(() -> done(id, hit), !hit, work, hit ? 0 : 10_000);
             open.put(id, transfer);
+            if (token == null) {
+                reads.merge(id, 1, Integer::sum);
+                mostReads = Math.max(mostReads, reads.size());
+            }
             box.model.open.add(transfer);
         }
 
         private void done(String id, boolean hit) {
             open.remove(id);
+            reads.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null);
             LoadReport load = mute ? null : box.model.seen(clock.micros(), frozen);
             String gauges = load == null ? "" : String.format(Locale.ROOT,
                     ",gauges=concurrent:%.3f;load_share:%.3f;x1:%.3f", load.held(), load.busy(), load.linkUse());
@@ -280,6 +323,7 @@
         @Override
         void neverMind(String id) {
             box.model.open.remove(open.remove(id));
+            reads.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null);
         }
 
         @Override
@@ -288,6 +332,7 @@
         @Override
         public void closed(IOException cause) {
             box.model.open.removeAll(open.values());
+            open.keySet().forEach(id -> reads.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null));
         }
     }
 
