--- a/src/main/java/clovermill/fleet/Fleet.java
+++ b/src/main/java/clovermill/fleet/Fleet.java
@@ -17,6 +17,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.function.BiConsumer;
@@ -91,10 +92,14 @@
 
     /** Tells all directors that operators took a cache out here, or put it back. */
     public void said(String id, boolean out) {
-        if (id.length() + CACHE.length() > MessageCodec.MOST_SUBJECT || !member.say(CACHE + id, out)) {
-            return;
+        String subject = CACHE + id;
+        boolean fits = subject.getBytes(StandardCharsets.UTF_8).length <= MessageCodec.MOST_SUBJECT;
+        if (fits && member.say(subject, out)) {
+            send(member.tick(clock.micros()));
+        } else if (!fits || member.holds(subject) != out) {
+            LOG.log(Level.WARNING, "fellow directors are not told of cache {0}: {1}", id,
+                    fits ? "there is no place for one more verdict" : "its id is too long");
         }
-        send(member.tick(clock.micros()));
     }
 
     private void holds(Verdict verdict) {
--- a/src/main/java/clovermill/fleet/decide/FleetMember.java
+++ b/src/main/java/clovermill/fleet/decide/FleetMember.java
@@ -189,7 +189,8 @@
         }
         List<Message.Loan> loans = new ArrayList<>();
         for (Message.Ask ask : message.asks()) {
-            if (ask.limit() >= 0 && ask.limit() < limits.size()) {
+            // One answer for each limit at most, so that all fit the datagram.
+            if (ask.limit() >= 0 && ask.limit() < limits.size() && loans.size() < limits.size()) {
                 double given = limits.get(ask.limit()).lend(ask.amount(), nowUs);
                 if (given > 0) {
                     loans.add(new Message.Loan(ask.limit(), ask.nonce(), given));
--- a/src/test/java/clovermill/fleet/decide/FleetMemberTest.java
+++ b/src/test/java/clovermill/fleet/decide/FleetMemberTest.java
@@ -121,6 +121,16 @@
         assertThat(two.slice(0).amount(now)).as("lent twice by the same nonce").isEqualTo(180);
     }
 
+    @Test
+    void whoeverAsksForOneLimitOverAndOverGetsOneAnswer() {
+        List<Message.Ask> asks = new ArrayList<>();
+        for (int i = 0; i < 64; i++) {
+            asks.add(new Message.Ask(0, i, 1));
+        }
+        Message many = new Message(0, 1, 1, 0, List.of(), asks, List.of());
+        assertThat(to(0, two.heard(many, 5_000_000)).loans()).hasSize(1);
+    }
+
     @Test
     void everyFellowIsToldSomethingInEveryRoundAndOneThatIsQuietIsSeen() {
         Place place = new Place(2, 10, INTERVAL, 4);
