--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -109,8 +109,7 @@
         }
         front.open();
         Retuning retuning = new Retuning(config, clock, deadlines, host, front, channel);
-        departure = new Departure(loop, clock, deadlines, front,
-                () -> platform.passed() == null ? 0 : retuning.longestUs());
+        departure = new Departure(loop, clock, deadlines, front, host, retuning::longestUs, platform.passed() != null);
         reloader = new Reloader(file, clock, deadlines, config, retuning::take);
     }
 
--- a/src/main/java/clovermill/Departure.java
+++ b/src/main/java/clovermill/Departure.java
@@ -1,61 +1,73 @@
 package clovermill;
 
+import clovermill.director.decide.Farewell;
 import clovermill.front.Front;
+import clovermill.host.Host;
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
+import java.lang.System.Logger.Level;
 import java.util.function.LongSupplier;
 
 /**
- * A planned restart: clients are told to go, what they still send for a while is served like all else, and
- * the process ends when every request it has taken is answered. One that hands over to another process also
- * waits a while for its clients to close their connections.
+ * A planned end: clients are told to go and served meanwhile, each connection is closed when nothing is open on it, and
+ * the loop stops when none is left, so that no client finds a socket of a process that is about to end.
  */
 final class Departure {
 
-    /** Connections still arrive for up to 0.4 s after the signal, and requests on them for 0.2 s more. */
-    private static final long LINGER_US = 700_000;
+    private static final System.Logger LOG = System.getLogger(Departure.class.getName());
     private static final long CHECK_US = 10_000;
-    /**
-     * How long a process that hands over waits for its clients to go by themselves: closing on one that just
-     * writes costs the request. The platform kills no sooner than the longest deadline, or 3 s, and 0.7 s more.
-     */
-    private static final long MOST_PATIENCE_US = 3_000_000;
-    private static final long BEYOND_US = 300_000;
 
     private final EventLoop loop;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Front front;
+    private final Host host;
     private final LongSupplier longestUs;
-    private long patientUntilUs;
+    private final boolean handsOver;
+    private Farewell farewell;
+    private boolean shut;
+    private boolean cut;
 
-    /** {@code longestUs} gives the longest deadline of a request where another process takes over, else 0. */
-    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, LongSupplier longestUs) {
+    /** {@code longestUs} gives the longest deadline of a request; {@code handsOver} where another process follows. */
+    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, Host host, LongSupplier longestUs,
+            boolean handsOver) {
         this.longestUs = longestUs;
+        this.handsOver = handsOver;
         this.loop = loop;
         this.clock = clock;
         this.deadlines = deadlines;
         this.front = front;
+        this.host = host;
     }
 
     void begin() {
+        farewell = new Farewell(clock.micros(), longestUs.getAsLong(), handsOver);
         front.leave();
-        long openUs = longestUs.getAsLong();
-        patientUntilUs = clock.micros() + (openUs == 0 ? 0 : Math.min(openUs, MOST_PATIENCE_US) + BEYOND_US);
-        deadlines.add(clock.micros() + LINGER_US, this::shut);
+        check();
     }
 
-    private void shut() {
-        front.shut();
-        endWhenQuiet();
-    }
-
-    private void endWhenQuiet() {
-        if (front.quiet() && (front.empty() || clock.micros() >= patientUntilUs)) {
+    private void check() {
+        Farewell.Step step = farewell.at(clock.micros());
+        if (!shut && step.compareTo(Farewell.Step.ENDS_IDLE) >= 0) {
+            shut = true;
+            front.shut();
+        }
+        if (step.compareTo(Farewell.Step.ANSWERS_ALL) >= 0) {
+            host.answerAll();
+        }
+        if (!cut && step == Farewell.Step.CUTS_OFF) {
+            cut = true;
+            LOG.log(Level.WARNING, "clients that do not read are cut off, {0} ms after the signal to leave",
+                    Long.toString(farewell.mostUs() / 1000));
+        }
+        if (shut) {
+            front.part(step.compareTo(Farewell.Step.TURNS_AWAY) >= 0, cut);
+        }
+        if (front.empty() && (shut || handsOver)) {
             loop.stop();
         } else {
-            deadlines.add(clock.micros() + CHECK_US, this::endWhenQuiet);
+            deadlines.add(clock.micros() + CHECK_US, this::check);
         }
     }
 }
--- a/src/main/java/clovermill/front/FrameConnection.java
+++ b/src/main/java/clovermill/front/FrameConnection.java
@@ -25,7 +25,8 @@
 
     /** What all connections of the front share. */
     record Shared(Host host, RequestReader reader, Budget budget, Clock clock, Deadlines deadlines,
-            LongSupplier awayMs, BooleanSupplier ready, IdleConnections idle, Consumer<FrameConnection> closed) { }
+            LongSupplier awayMs, BooleanSupplier ready, BooleanSupplier turningAway, IdleConnections idle,
+            Consumer<FrameConnection> closed) { }
 
     private static final int MOST_OPEN = 32;
     /** Nothing more is read from a client that lets so much of its answers lie. */
@@ -38,6 +39,12 @@
      */
     private static final int MOST_IN_VAIN = 100;
     private static final long SPAN_US = 1_000_000;
+    /** A client that has just connected is about to ask. */
+    private static final long ABOUT_TO_ASK_US = 100_000;
+    /** From this side's end to the close: what crosses the end comes within 50 ms, and unread it would be a reset. */
+    private static final long CROSSING_US = 100_000;
+    /** Where another director is to take the request, it may do so at once. */
+    private static final long AT_ONCE_MS = 1;
 
     private final Connection connection;
     private final Shared shared;
@@ -47,6 +54,8 @@
     private Deadlines.Deadline stall;
     private Deadlines.Deadline frameBy;
     private Deadlines.Deadline calm;
+    private Deadlines.Deadline crossing;
+    private final long sinceUs;
     private long spanUs;
     private int inVain;
     private long writtenBefore;
@@ -58,6 +67,7 @@
         this.connection = connection;
         this.shared = shared;
         this.parser = new FrameParser(shared.budget, this::frame);
+        this.sinceUs = shared.clock.micros();
     }
 
     /** A request that is open; it writes the answer. */
@@ -124,12 +134,40 @@
         leaveAfterNext = true;
     }
 
-    boolean quiet() {
+    private boolean quiet() {
         return open.isEmpty() && connection.queuedBytes() == 0;
     }
 
+    /**
+     * Ends this side of a connection on which nothing taken is open, after a last look at what has come. Not to be
+     * called from {@link #received}.
+     */
+    void endIfIdle() {
+        if (idleNow()) {
+            connection.readNow();
+            if (connection.isOpen() && idleNow()) {
+                connection.endOutput();
+                crossing = shared.deadlines.add(shared.clock.micros() + CROSSING_US, connection::close);
+            }
+        }
+    }
+
+    private boolean idleNow() {
+        return crossing == null && !closing && quiet() && !parser.midFrame() && !connection.isPaused()
+                && (spoken || shared.clock.micros() >= sinceUs + ABOUT_TO_ASK_US);
+    }
+
+    /** Closes whatever is open. */
+    void cutOff() {
+        connection.close();
+    }
+
     @Override
     public void received(ByteBuffer data) {
+        if (crossing != null) {
+            data.position(data.limit()); // sent before this side's end was seen: it is sent again elsewhere
+            return;
+        }
         try {
             parser.parse(data);
             if (parser.waitsForRoom()) {
@@ -197,7 +235,7 @@
             spanUs = nowUs;
             inVain = 0;
         }
-        if (++inVain > MOST_IN_VAIN && calm == null && connection.isOpen()) {
+        if (++inVain > MOST_IN_VAIN && calm == null && connection.isOpen() && !shared.turningAway.getAsBoolean()) {
             connection.pause();
             calm = shared.deadlines.add(spanUs + SPAN_US, () -> {
                 calm = null;
@@ -240,8 +278,9 @@
             return;
         }
         int bodyBytes = payload.remaining();
-        if (open.size() >= MOST_OPEN || !shared.budget.take(bodyBytes)) {
-            refuse(stream, shared.awayMs.getAsLong());
+        boolean turnedAway = shared.turningAway.getAsBoolean();
+        if (turnedAway || open.size() >= MOST_OPEN || !shared.budget.take(bodyBytes)) {
+            refuse(stream, turnedAway ? AT_ONCE_MS : shared.awayMs.getAsLong());
             notTaken(fields);
             return;
         }
@@ -341,6 +380,7 @@
         shared.deadlines.cancel(stall);
         shared.deadlines.cancel(frameBy);
         shared.deadlines.cancel(calm);
+        shared.deadlines.cancel(crossing);
         parser.close();
         for (Stream stream : List.copyOf(open.values())) {
             stream.end();
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -33,7 +33,6 @@
     private static final long LOOK_US = 10_000;
 
     private final EventLoop loop;
-    private final Host host;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Terms terms;
@@ -45,18 +44,18 @@
     private int most;
     private long awayMs;
     private boolean leaving;
+    private boolean turningAway;
 
     public FrameFront(EventLoop loop, Clock clock, Deadlines deadlines, Budget budget, Host host,
             Settings settings, List<String> classNames, Terms terms) {
         this.loop = loop;
-        this.host = host;
         this.clock = clock;
         this.deadlines = deadlines;
         this.terms = terms;
         this.most = terms.connections();
         this.reader = new RequestReader(MARGIN_US);
         this.shared = new FrameConnection.Shared(host, reader, budget, clock, deadlines, () -> awayMs, this::ready,
-                idle, this::forget);
+                () -> turningAway, idle, this::forget);
         retune(classNames, settings);
     }
 
@@ -151,17 +150,21 @@
     @Override
     public void shut() {
         if (listener != null) {
+            if (terms.passed() == null) {
+                listener.acceptAll();
+            }
             listener.close();
         }
     }
 
     @Override
-    public boolean empty() {
-        return connections.isEmpty();
+    public void part(boolean turnAway, boolean cuttingOff) {
+        turningAway |= turnAway;
+        List.copyOf(connections).forEach(cuttingOff ? FrameConnection::cutOff : FrameConnection::endIfIdle);
     }
 
     @Override
-    public boolean quiet() {
-        return host.unanswered() == 0 && connections.stream().allMatch(FrameConnection::quiet);
+    public boolean empty() {
+        return connections.isEmpty();
     }
 }
--- a/src/main/java/clovermill/front/Front.java
+++ b/src/main/java/clovermill/front/Front.java
@@ -20,11 +20,14 @@
      */
     void leave();
 
-    /** Takes no new connections any more; those that are open go on. */
+    /** Takes no new connections beyond those that have come up to now; those that are open go on. */
     void shut();
 
-    /** Whether every answer has been written. */
-    boolean quiet();
+    /**
+     * Ends each connection on which nothing taken is open. New requests are turned away from now on if {@code
+     * turningAway}; what is left is closed as it is if {@code cuttingOff}.
+     */
+    void part(boolean turningAway, boolean cuttingOff);
 
     /** Whether no client is connected. */
     boolean empty();
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -10,6 +10,7 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -247,9 +248,18 @@
         deliver(new CacheRouter.Retuned(settings));
     }
 
-    /** Requests that still wait for their answer. */
-    public int unanswered() {
-        return (int) calls.values().stream().filter(call -> !call.over()).count();
+    /** Gives every open request its final answer now: the end of the process is near. */
+    public void answerAll() {
+        for (Call call : List.copyOf(calls.values())) {
+            if (!call.over()) {
+                if (call.sent == 0) {
+                    call.refuse(1);
+                } else {
+                    call.fail();
+                }
+                deliver(new CacheRouter.ClientGone(call.ask.id()));
+            }
+        }
     }
 
     /**
--- a/src/main/java/clovermill/net/Connection.java
+++ b/src/main/java/clovermill/net/Connection.java
@@ -122,6 +122,34 @@
         markDirty();
     }
 
+    /** Whether reading has stopped until {@link #resume}. */
+    public boolean isPaused() {
+        return paused;
+    }
+
+    /** Hands over what has come up to now, unless reading is paused. Not to be called from {@link Handler#received}. */
+    public void readNow() {
+        if (open && !connecting && !paused && !ended) {
+            try {
+                read();
+                interest();
+            } catch (IOException failure) {
+                close(failure);
+            }
+        }
+    }
+
+    /** Ends this side after what has been written; the peer may still send, until {@link #close}. */
+    public void endOutput() {
+        if (open) {
+            try {
+                channel.shutdownOutput();
+            } catch (IOException failure) {
+                close(failure);
+            }
+        }
+    }
+
     /** Closes as soon as all that was sent is written. */
     public void closeWhenFlushed() {
         closeWhenFlushed = true;
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -95,6 +95,27 @@
             }
         }
 
+        /**
+         * Takes every connection that the machine has accepted up to now, each beyond the limit in the place of
+         * another: the end of the listening socket would reset them.
+         */
+        public void acceptAll() {
+            try {
+                for (SocketChannel peer; (peer = channel.accept()) != null;) {
+                    accepted++;
+                    if (accepted > most) {
+                        makeRoom.run();
+                    }
+                    adopt(peer, SelectionKey.OP_READ, false, handlers, this);
+                    if (accepted > most + TURN_ACCEPTS) {
+                        return;
+                    }
+                }
+            } catch (IOException failure) {
+                LOG.log(Level.WARNING, "accepting failed: {0}", failure.getMessage());
+            }
+        }
+
         private SocketChannel next() throws IOException {
             if (accepted > most) {
                 key.interestOps(0);
--- a/src/test/java/clovermill/ScenarioTest.java
+++ b/src/test/java/clovermill/ScenarioTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
@@ -21,6 +22,34 @@
         }
     }
 
+    /** Clients may go on sending while their connection is open: members answer after 40 ms, so one is never idle. */
+    @Test
+    void aClientThatNeverPausesIsBroughtToAMomentWithNothingOpen() throws Exception {
+        List<String> lines = new ArrayList<>();
+        int told = 10;
+        int turnedAway = told + 120;
+        for (int i = 1; i <= turnedAway + 4; i++) {
+            lines.add("send c1 request " + i + " class=page id=" + id(i) + " wait=3000 key=7f3a9c21e0b4d655");
+            lines.add(i <= turnedAway ? "expect s-1 want " + id(i) : "expect c1 refused " + i + " after=1");
+            lines.add("wait 10");
+            if (i > 4 && i <= turnedAway + 4) {
+                lines.add("send s-1 " + id(i - 4) + " DONE etag=t1,made=5 | hello");
+                lines.add("expect c1 served " + (i - 4) + " | hello");
+            }
+            if (i == told) {
+                lines.addAll(List.of("send director TERM", "expect c1 leaving 0"));
+            }
+        }
+        lines.addAll(List.of("wait 10", "expect c1 closed", "wait 100", "expect director stopped"));
+        try (Scenario scenario = new Scenario(0)) {
+            scenario.play(lines);
+        }
+    }
+
+    private static String id(int number) {
+        return String.format("%016x", number);
+    }
+
     @TestFactory
     List<DynamicTest> scenarios() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenarios"))) {
