--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -84,7 +84,8 @@
         Roster roster = new Roster(clock, pool, host, new Outages(), settings.originKind());
         roster.start(known);
         channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
-                config.zones(), config.kinds(), settings.dialTimeoutUs()), known.cursor(), roster::apply);
+                config.zones(), config.kinds(), settings.dialTimeoutUs(),
+                Math.min(settings.drainGraceUs(), settings.purgeNoticeUs())), known.cursor(), roster::apply);
         channel.start();
         long settledUs = clock.micros() + settleUs;
         // What the configuration knows may be as old as the process that this one takes over from.
--- a/src/main/java/clovermill/channel/CommandChannel.java
+++ b/src/main/java/clovermill/channel/CommandChannel.java
@@ -20,15 +20,16 @@
  */
 public final class CommandChannel implements Connection.Handler {
 
-    /** How the channel is read: the names of the settings, and the time a dial may take. */
-    public record Terms(List<String> zones, List<String> kinds, long dialUs) { }
+    /**
+     * How the channel is read: the names of the settings, the time that a dial may take, and the shorter of the times
+     * in which what it tells has to bind.
+     */
+    public record Terms(List<String> zones, List<String> kinds, long dialUs, long windowUs) { }
 
     private static final System.Logger LOG = System.getLogger(CommandChannel.class.getName());
     /** Short, because events count as told while the channel is cut off, and silence shows only after it. */
     private static final long BLOCK_MS = 1000;
     private static final long GRACE_US = 500_000;
-    private static final long REDIAL_US = 50_000;
-    private static final long LONGEST_REDIAL_US = 800_000;
     /** What the channel has to tell counts as told 2 s after the end of the wait that was asked for. */
     private static final long LONGEST_SILENCE_US = BLOCK_MS * 1000 + 2_000_000;
 
@@ -45,8 +46,7 @@
     private Deadlines.Deadline redial;
     private long cursor;
     private boolean heard;
-    /** The first redial leaves at once: what the channel has to tell counts as told soon after a break. */
-    private long redialUs;
+    private final Redial redials;
 
     public CommandChannel(EventLoop loop, Clock clock, Deadlines deadlines, InetSocketAddress address,
             Terms terms, long cursor, Consumer<Commands> news) {
@@ -57,6 +57,7 @@
         this.terms = terms;
         this.cursor = cursor;
         this.news = news;
+        this.redials = new Redial(terms.windowUs(), terms.dialUs());
         this.quiet = new Silence(LONGEST_SILENCE_US, clock.micros());
     }
 
@@ -66,7 +67,7 @@
             return;
         }
         address = to;
-        redialUs = 0;
+        redials.reached();
         if (connection != null && connection.isOpen()) {
             connection.close();
         } else {
@@ -98,7 +99,7 @@
         responses = new HttpResponses(this::response);
         try {
             connection = loop.connect(address, dialled -> this);
-            silence = deadlines.add(clock.micros() + terms.dialUs(), connection::close);
+            silence = deadlines.add(clock.micros() + redials.dialUs(), connection::close);
         } catch (IOException failure) {
             closed(failure);
         }
@@ -132,7 +133,7 @@
         } catch (Json.Malformed malformed) {
             throw new ProtocolException(malformed.getMessage());
         }
-        redialUs = 0;
+        redials.reached();
         heard = true;
         long quietUs = quiet.heard(clock.micros());
         if (quietUs > 0) {
@@ -166,7 +167,6 @@
         if (cause instanceof ProtocolException) {
             LOG.log(Level.WARNING, "the command channel: {0}", cause.getMessage());
         }
-        redial = deadlines.add(clock.micros() + redialUs, this::dial);
-        redialUs = Math.min(LONGEST_REDIAL_US, Math.max(REDIAL_US, 2 * redialUs));
+        redial = deadlines.add(clock.micros() + redials.waitUs(), this::dial);
     }
 }
