--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/Assembly.java
@@ -1,5 +1,6 @@
 package clovermill;
 
+import clovermill.module.Policy;
 import clovermill.admin.AdminFront;
 import clovermill.admin.decide.Desk;
 import clovermill.cache.CachePool;
--- a/src/main/java/clovermill/CacheRouter.java
+++ b/src/main/java/clovermill/CacheRouter.java
@@ -59,6 +59,11 @@
             long purgeNoticeUs, long purgeDoneUs, long dialTimeoutUs, boolean listOnRequest, long mustAskUs,
             double originFallMultiple, long originFallUs, double linkKbPerS, Permissions allowed) {
 
+        /** The directors that serve this one's zone, itself among them. */
+        public int directorsHere() {
+            return zone < directorsByZone.size() ? directorsByZone.get(zone) : directors;
+        }
+
         /** The same with other classes and permissions. */
         public Settings with(List<RequestClass> otherClasses, Permissions otherwise) {
             return new Settings(position, directors, zone, otherClasses, directorsByZone, hubOf, parentKind,
--- a/src/main/java/clovermill/adapter/Adapter.java
+++ b/src/main/java/clovermill/adapter/Adapter.java
@@ -10,7 +10,7 @@
 import clovermill.CacheRouter.Note;
 import clovermill.CacheRouter.Result;
 import clovermill.CacheRouter.Settings;
-import clovermill.Policy;
+import clovermill.module.Policy;
 import clovermill.config.Json;
 import clovermill.config.LoadReports;
 import clovermill.config.SettingsReader;
--- a/src/main/java/clovermill/emulator/Emulation.java
+++ b/src/main/java/clovermill/emulator/Emulation.java
@@ -28,7 +28,7 @@
 import clovermill.CacheRouter.Siblings;
 import clovermill.CacheRouter.Telling;
 import clovermill.CacheRouter.Timer;
-import clovermill.Policy;
+import clovermill.module.Policy;
 import clovermill.emulator.EmulatedCache.Transfer;
 import java.util.ArrayList;
 import java.util.Arrays;
--- /dev/null
+++ b/src/main/java/clovermill/module/Room.java
@@ -0,0 +1,116 @@
+package clovermill.module;
+
+import clovermill.CacheRouter.LoadReport;
+import clovermill.memory.DueQueue;
+import clovermill.memory.Held;
+import clovermill.module.Node.Role;
+import clovermill.spread.decide.LearnedRoom;
+import java.util.List;
+
+/** How many transfers members, and the link in, hold and can hold at full pace: told, reported or learned. */
+final class Room {
+
+    private final State state;
+    /** All fills share it; where nothing is told of it, its room is learned. */
+    final Node link = new Node("link");
+    /** Load until they end or their wanted time is over, lest what hangs looks like transfers; then late. */
+    private final DueQueue<Attempt> counted = new DueQueue<>(Attempt::dueUs);
+
+    Room(State state) {
+        this.state = state;
+        double kbPerS = state.settings.linkKbPerS();
+        link.weight = kbPerS > 0 ? kbPerS / state.settings.paceKbPerS() : Double.NaN;
+    }
+
+    /** What target, filler and link hold, for an attempt that goes out now. */
+    double[] loads(Choice choice) {
+        return new double[] {load(choice.target()), choice.filler() == null ? 0 : load(choice.filler()), load(link)};
+    }
+
+    void sent(Attempt attempt) {
+        hold(attempt, 1);
+        counted.add(attempt);
+    }
+
+    void ended(Attempt attempt, LoadReport report) {
+        if (counted.remove(attempt)) {
+            hold(attempt, -1);
+        }
+        if (report != null) {
+            attempt.choice().target().shared.reported(report.held(), state.now);
+            link.shared.reported(report.linkUse() * link.weight, state.now);
+        }
+    }
+
+    /** Lets time pass: what is late now shows how slow its member is at least. */
+    void advance() {
+        for (Attempt late = counted.due(state.now); late != null; late = counted.due(state.now)) {
+            hold(late, -1);
+            Node slow = late.choice().filler() == null ? late.choice().target() : late.choice().source();
+            if (!slow.room.learnedAfter(late.sentUs())) {
+                paced(late, slow != late.choice().target(), late.pending().aimUs);
+            }
+        }
+    }
+
+    /** Counts an attempt at its target and, if it is expected to be a fill, at its source and the link. */
+    private void hold(Attempt attempt, int more) {
+        Choice choice = attempt.choice();
+        for (Node node : choice.filler() == null ? List.of(choice.target())
+                : List.of(choice.target(), choice.filler(), link)) {
+            node.held.add(more, state.now);
+            if (attempt.pending().tellsPace()) {
+                node.room.tried(state.now);
+            }
+        }
+    }
+
+    /** Learns from an answer that came, or is late; what is known to be the hub's doing tells nothing of the link. */
+    void paced(Attempt attempt, boolean filled, long elapsedUs) {
+        double stretch = Math.max(1, (double) elapsedUs / attempt.pending().workUs);
+        Node source = attempt.choice().source();
+        boolean known = filled && attempt.loads()[1] + 1 >= Math.max(LearnedRoom.STRETCHED, stretch) * room(source);
+        int last = !attempt.pending().tellsPace() ? 0 : !filled ? 1 : known ? 2 : 3;
+        for (int i = filled ? 1 : 0; i < last; i++) {
+            Node node = i == 0 ? attempt.choice().target() : i == 1 ? source : link;
+            node.room.shown(((attempt.loads()[i] + load(node)) / 2 + 1) / stretch, stretch, room(node), state.now);
+        }
+    }
+
+    void crowded(Node node) {
+        node.room.turnedAway(load(node), room(node), state.now);
+    }
+
+    /**
+     * Transfers at a member: those of this director that are out, and its fellows', by reports; where there are none,
+     * for each fellow what this one has out there on average, since all see the same clients.
+     */
+    private double load(Node node) {
+        int sharers = node.role == Role.ORIGIN ? 1
+                : node.role == Role.PARENT ? state.settings.directors() : state.settings.directorsHere();
+        double known = 1 - Math.exp(-Math.max(1, state.now - state.startedUs) / Held.SPAN_US);
+        double held = node.held.mean(state.now);
+        return node.held.now() + node.shared.fellows(held, Math.max(0, sharers - 1) * held / known, state.now);
+    }
+
+    /**
+     * Whether a member, its pace shared among all it holds, would answer in time; a full margin is left where its load
+     * is fellows' and so only guessed.
+     */
+    boolean at(Node node, Pending pending, double share) {
+        double most = State.HAND_OVER + (node.held.now() + 1) / (load(node) + 1) * (share - State.HAND_OVER);
+        return pending.workUs * Math.max(1, strain(node)) <= most * pending.aimUs;
+    }
+
+    /** Transfers at a member, with one more, to each that it can hold at full pace. */
+    double strain(Node node) {
+        return node.room.crowded(state.now) ? Double.POSITIVE_INFINITY : (load(node) + 1) / room(node);
+    }
+
+    /** The transfers that a member can hold at full pace: what was learned, or what is told of it. */
+    private double room(Node node) {
+        double most = (node == link ? link.weight > 0 : state.settings.weighted() && node.role == Role.CACHE)
+                ? node.weight : Double.POSITIVE_INFINITY;
+        return node == link && link.shared.told() ? most : node.room.at(state.now, most);
+    }
+}
--- a/src/test/java/clovermill/Director.java
+++ b/src/test/java/clovermill/Director.java
@@ -1,5 +1,6 @@
 package clovermill;
 
+import clovermill.module.Policy;
 import clovermill.CacheRouter.Action;
 import clovermill.CacheRouter.Availability;
 import clovermill.CacheRouter.ColdRule;
--- a/src/test/java/clovermill/LayersTest.java
+++ b/src/test/java/clovermill/LayersTest.java
@@ -22,9 +22,12 @@
                 .orShould().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis")
                 .check(CLASSES);
-        noClasses().that().haveSimpleName("Policy").or().haveSimpleName("CacheRouter").should().dependOnClassesThat()
-                .resideInAnyPackage("java.nio..", "java.net..", "clovermill.net..", "clovermill.host..",
+        noClasses().that().resideInAnyPackage("clovermill.module..", "clovermill.memory..").or()
+                .haveSimpleName("CacheRouter").should().dependOnClassesThat().resideInAnyPackage("java.nio..",
+                "java.net..", "java.io..", "clovermill.net..", "clovermill.host..", "clovermill.director..",
                 "java.util.concurrent..").check(CLASSES);
+        noClasses().that().resideInAPackage("clovermill.memory..").should().dependOnClassesThat()
+                .resideInAnyPackage("clovermill", "clovermill.module..").check(CLASSES);
     }
 
     @Test
--- a/src/test/java/clovermill/director/decide/FarewellTest.java
+++ b/src/test/java/clovermill/director/decide/FarewellTest.java
@@ -14,7 +14,8 @@
     @Property
     void theEndComesBeforeThePlatformKillsAndNoStepIsTakenBack(
             @ForAll @LongRange(min = 1, max = 60_000_000) long longest, @ForAll boolean handsOver,
-            @ForAll @LongRange(min = 0, max = 4_000_000) long one, @ForAll @LongRange(min = 0, max = 4_000_000) long other) {
+            @ForAll @LongRange(min = 0, max = 4_000_000) long one,
+            @ForAll @LongRange(min = 0, max = 4_000_000) long other) {
         Farewell farewell = new Farewell(SINCE_US, longest, handsOver);
         long killUs = Math.min(longest, 3_000_000) + 700_000;
         assertThat(farewell.at(SINCE_US + killUs - 200_000)).isEqualTo(Step.CUTS_OFF);
