--- a/src/main/java/clovermill/adapter/Adapter.java
+++ b/src/main/java/clovermill/adapter/Adapter.java
@@ -1,6 +1,5 @@
 package clovermill.adapter;
 
-import clovermill.CacheRouter;
 import clovermill.CacheRouter.Action;
 import clovermill.CacheRouter.Availability;
 import clovermill.CacheRouter.Event;
@@ -10,10 +9,11 @@
 import clovermill.CacheRouter.Note;
 import clovermill.CacheRouter.Result;
 import clovermill.CacheRouter.Settings;
-import clovermill.module.Policy;
+import clovermill.CacheRouter;
 import clovermill.config.Json;
 import clovermill.config.LoadReports;
 import clovermill.config.SettingsReader;
+import clovermill.module.Policy;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/clovermill/cli/Cli.java
+++ b/src/main/java/clovermill/cli/Cli.java
@@ -1,15 +1,15 @@
 package clovermill.cli;
 
-import clovermill.Service;
+import clovermill.director.Service;
 import clovermill.settings.SettingsFile;
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 
 /** All commands but for the platform's two words. */
 @Command(name = "clovermill", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
--- a/src/main/java/clovermill/cli/FleetSimCommand.java
+++ b/src/main/java/clovermill/cli/FleetSimCommand.java
@@ -14,10 +14,10 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 
 /** Plays a fleet of directors against emulated caches. */
 @Command(name = "fleet-sim", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
--- a/src/main/java/clovermill/cli/LedgerCommand.java
+++ b/src/main/java/clovermill/cli/LedgerCommand.java
@@ -32,10 +32,10 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 
 /** {@code ledger …}: everything about what was used, beside a director or without one. */
 @Command(name = "ledger", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
--- a/src/main/java/clovermill/cli/Main.java
+++ b/src/main/java/clovermill/cli/Main.java
@@ -1,8 +1,8 @@
 package clovermill.cli;
 
-import clovermill.Service;
 import clovermill.adapter.Adapter;
 import clovermill.adapter.MalformedInput;
+import clovermill.director.Service;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
--- a/src/main/java/clovermill/Assembly.java
+++ b/src/main/java/clovermill/director/Assembly.java
@@ -1,6 +1,6 @@
-package clovermill;
+package clovermill.director;
 
-import clovermill.module.Policy;
+import clovermill.CacheRouter;
 import clovermill.admin.AdminFront;
 import clovermill.admin.decide.Desk;
 import clovermill.cache.CachePool;
@@ -9,12 +9,18 @@
 import clovermill.channel.Roster;
 import clovermill.config.Config;
 import clovermill.config.Json;
+import clovermill.director.leave.Departure;
+import clovermill.director.operate.Fellows;
+import clovermill.director.operate.Operations;
+import clovermill.director.operate.Sharing;
+import clovermill.director.retune.Retuning;
 import clovermill.fleet.Fleet;
 import clovermill.fleet.FleetSettings;
 import clovermill.front.FrameFront;
 import clovermill.host.Host;
 import clovermill.ledger.Ledger;
 import clovermill.ledger.LedgerSettings;
+import clovermill.module.Policy;
 import clovermill.net.Budget;
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
--- a/src/main/java/clovermill/Platform.java
+++ b/src/main/java/clovermill/director/Platform.java
@@ -1,4 +1,4 @@
-package clovermill;
+package clovermill.director;
 
 import clovermill.config.Config;
 import clovermill.config.Json;
--- a/src/main/java/clovermill/Warmup.java
+++ b/src/main/java/clovermill/director/Warmup.java
@@ -1,6 +1,5 @@
-package clovermill;
+package clovermill.director;
 
-import clovermill.module.Policy;
 import clovermill.CacheRouter.Action;
 import clovermill.CacheRouter.ListScope;
 import clovermill.CacheRouter.Member;
@@ -13,6 +12,7 @@
 import clovermill.CacheRouter.SendVia;
 import clovermill.CacheRouter.Settings;
 import clovermill.channel.Commands;
+import clovermill.module.Policy;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/clovermill/Departure.java
+++ b/src/main/java/clovermill/director/leave/Departure.java
@@ -1,6 +1,6 @@
-package clovermill;
+package clovermill.director.leave;
 
-import clovermill.director.decide.Farewell;
+import clovermill.director.leave.decide.Farewell;
 import clovermill.front.Front;
 import clovermill.host.Host;
 import clovermill.net.Clock;
@@ -13,7 +13,7 @@
  * A planned end: clients are told to go and served meanwhile, each connection is closed when nothing is open on it, and
  * the loop stops when none is left, so that no client finds a socket of a process that is about to end.
  */
-final class Departure {
+public final class Departure {
 
     private static final System.Logger LOG = System.getLogger(Departure.class.getName());
     private static final long CHECK_US = 10_000;
@@ -30,7 +30,7 @@
     private boolean cut;
 
     /** {@code longestUs} gives the longest deadline of a request; {@code handsOver} where another process follows. */
-    Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, Host host, LongSupplier longestUs,
+    public Departure(EventLoop loop, Clock clock, Deadlines deadlines, Front front, Host host, LongSupplier longestUs,
             boolean handsOver) {
         this.longestUs = longestUs;
         this.handsOver = handsOver;
@@ -41,7 +41,7 @@
         this.host = host;
     }
 
-    void begin() {
+    public void begin() {
         farewell = new Farewell(clock.micros(), longestUs.getAsLong(), handsOver);
         front.leave();
         check();
--- a/src/main/java/clovermill/director/decide/Farewell.java
+++ b/src/main/java/clovermill/director/leave/decide/Farewell.java
@@ -1,4 +1,4 @@
-package clovermill.director.decide;
+package clovermill.director.leave.decide;
 
 /**
  * Decides how far a planned end has come at each moment after the signal. The platform sends new connections for up to
--- a/src/main/java/clovermill/Fellows.java
+++ b/src/main/java/clovermill/director/operate/Fellows.java
@@ -1,4 +1,4 @@
-package clovermill;
+package clovermill.director.operate;
 
 import clovermill.channel.Roster;
 import clovermill.fleet.Fleet;
@@ -7,10 +7,10 @@
 import java.util.function.BiConsumer;
 
 /** Carries out what fellow directors' operators had done to caches. */
-record Fellows(Roster roster, OutageMarks marks, Clock clock) implements BiConsumer<String, Boolean> {
+public record Fellows(Roster roster, OutageMarks marks, Clock clock) implements BiConsumer<String, Boolean> {
 
     /** Marks what operators do here for other processes of this director, and tells the fellows. */
-    record Telling(OutageMarks marks, Fleet fleet) implements OutageMarks {
+    public record Telling(OutageMarks marks, Fleet fleet) implements OutageMarks {
         @Override
         public void takeOut(String id) {
             marks.takeOut(id);
--- a/src/main/java/clovermill/Operations.java
+++ b/src/main/java/clovermill/director/operate/Operations.java
@@ -1,4 +1,4 @@
-package clovermill;
+package clovermill.director.operate;
 
 import clovermill.admin.decide.Desk;
 import clovermill.channel.Roster;
@@ -10,7 +10,7 @@
  * What operators can have done. A call to one process counts for its whole director: what the other one was told before
  * is taken over first, and what changes is marked before the answer.
  */
-record Operations(Roster roster, Front front, Clock clock, OutageMarks marks, Runnable catchUp)
+public record Operations(Roster roster, Front front, Clock clock, OutageMarks marks, Runnable catchUp)
         implements Desk.Director {
 
     @Override
--- a/src/main/java/clovermill/Sharing.java
+++ b/src/main/java/clovermill/director/operate/Sharing.java
@@ -1,4 +1,4 @@
-package clovermill;
+package clovermill.director.operate;
 
 import clovermill.cache.CachePool;
 import clovermill.channel.Roster;
@@ -17,7 +17,7 @@
  * What the processes of one director have in common while one takes over from the other: the outages that operators
  * have called for, and the descriptors. Each looks at their folder a few times a second.
  */
-final class Sharing {
+public final class Sharing {
 
     private static final System.Logger LOG = System.getLogger(Sharing.class.getName());
     /** A fifth of the time in which nothing more may go to a cache that was taken out at the other process. */
@@ -35,8 +35,8 @@
     private boolean saidReady;
 
     /** Shares by a folder; null if that is null, or, with a line in the log, if it cannot be used. */
-    static Sharing open(Path folder, Shares shares, Clock clock, Deadlines deadlines, Roster roster, FrameFront front,
-            CachePool pool) {
+    public static Sharing open(Path folder, Shares shares, Clock clock, Deadlines deadlines,
+            Roster roster, FrameFront front, CachePool pool) {
         try {
             return folder == null ? null : new Sharing(folder, shares, clock, deadlines, roster, front, pool);
         } catch (IOException unusable) {
@@ -59,12 +59,12 @@
     }
 
     /** Where outages are marked. */
-    OutageMarks marks() {
+    public OutageMarks marks() {
         return outages;
     }
 
     /** Takes over which caches are out. */
-    void catchUp() {
+    public void catchUp() {
         OutageFolder.Marks marks = outages.look();
         if (marks != null) {
             roster.outages(marks.out(), marks.back());
@@ -72,7 +72,7 @@
     }
 
     /** Takes over what an earlier process left, and from then on what the other one marks. */
-    void look() {
+    public void look() {
         catchUp();
         if (!saidReady && front.ready()) {
             saidReady = true;
@@ -96,7 +96,7 @@
     }
 
     /** This process ends. */
-    void close() {
+    public void close() {
         presence.leave();
     }
 }
--- a/src/main/java/clovermill/Retuning.java
+++ b/src/main/java/clovermill/director/retune/Retuning.java
@@ -1,6 +1,7 @@
-package clovermill;
+package clovermill.director.retune;
 
 import clovermill.CacheRouter.Settings;
+import clovermill.CacheRouter;
 import clovermill.channel.CommandChannel;
 import clovermill.config.Config;
 import clovermill.config.Json;
@@ -13,7 +14,7 @@
 import java.util.Objects;
 
 /** Hands a new configuration to the parts that it concerns, while requests are in flight. */
-final class Retuning {
+public final class Retuning {
 
     private static final System.Logger LOG = System.getLogger(Retuning.class.getName());
 
@@ -27,7 +28,8 @@
     private Settings told;
     private Deadlines.Deadline settling;
 
-    Retuning(Config start, Clock clock, Deadlines deadlines, Host host, FrameFront front, CommandChannel channel) {
+    public Retuning(Config start, Clock clock, Deadlines deadlines, Host host, FrameFront front,
+            CommandChannel channel) {
         this.inForce = start;
         this.told = start.settings();
         this.clock = clock;
@@ -43,7 +45,7 @@
      *
      * @throws Json.Malformed if it has more classes than there are numbers; nothing of it is taken then
      */
-    void take(Config next) throws Json.Malformed {
+    public void take(Config next) throws Json.Malformed {
         if (!classes.hasRoomFor(next.classes())) {
             throw new Json.Malformed("settings.request-classes: more names than one process can tell apart");
         }
@@ -79,7 +81,7 @@
     }
 
     /** The longest time that a request may be open, in microseconds. */
-    long longestUs() {
+    public long longestUs() {
         return classes.terms().stream().mapToLong(CacheRouter.RequestClass::deadlineUs).max().orElse(0);
     }
 }
--- a/src/main/java/clovermill/emulator/Emulation.java
+++ b/src/main/java/clovermill/emulator/Emulation.java
@@ -1,6 +1,5 @@
 package clovermill.emulator;
 
-import clovermill.CacheRouter;
 import clovermill.CacheRouter.Action;
 import clovermill.CacheRouter.Availability;
 import clovermill.CacheRouter.Cancel;
@@ -28,8 +27,9 @@
 import clovermill.CacheRouter.Siblings;
 import clovermill.CacheRouter.Telling;
 import clovermill.CacheRouter.Timer;
-import clovermill.module.Policy;
+import clovermill.CacheRouter;
 import clovermill.emulator.EmulatedCache.Transfer;
+import clovermill.module.Policy;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
--- a/src/main/java/clovermill/emulator/TalkingFleet.java
+++ b/src/main/java/clovermill/emulator/TalkingFleet.java
@@ -1,8 +1,8 @@
 package clovermill.emulator;
 
-import clovermill.fleet.decide.FleetMember;
 import clovermill.fleet.decide.FleetMember.Outgoing;
 import clovermill.fleet.decide.FleetMember.Place;
+import clovermill.fleet.decide.FleetMember;
 import clovermill.fleet.decide.LeasedRate;
 import clovermill.fleet.decide.Message;
 import java.util.ArrayDeque;
--- a/src/main/java/clovermill/fleet/Fleet.java
+++ b/src/main/java/clovermill/fleet/Fleet.java
@@ -1,8 +1,8 @@
 package clovermill.fleet;
 
 import clovermill.CacheRouter.Members;
-import clovermill.fleet.decide.FleetMember;
 import clovermill.fleet.decide.FleetMember.Outgoing;
+import clovermill.fleet.decide.FleetMember;
 import clovermill.fleet.decide.Message;
 import clovermill.fleet.decide.Slice;
 import clovermill.fleet.decide.Verdict;
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -1,10 +1,10 @@
 package clovermill.host;
 
-import clovermill.CacheRouter;
 import clovermill.CacheRouter.Action;
 import clovermill.CacheRouter.Event;
 import clovermill.CacheRouter.Note;
 import clovermill.CacheRouter.Result;
+import clovermill.CacheRouter;
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
 import java.lang.System.Logger.Level;
--- a/src/main/java/clovermill/module/Pending.java
+++ b/src/main/java/clovermill/module/Pending.java
@@ -1,7 +1,7 @@
 package clovermill.module;
 
-import clovermill.CacheRouter;
 import clovermill.CacheRouter.Effect;
+import clovermill.CacheRouter;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/clovermill/Director.java
+++ b/src/test/java/clovermill/Director.java
@@ -1,6 +1,5 @@
 package clovermill;
 
-import clovermill.module.Policy;
 import clovermill.CacheRouter.Action;
 import clovermill.CacheRouter.Availability;
 import clovermill.CacheRouter.ColdRule;
@@ -20,6 +19,7 @@
 import clovermill.CacheRouter.Settings;
 import clovermill.CacheRouter.Siblings;
 import clovermill.CacheRouter.Telling;
+import clovermill.module.Policy;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/clovermill/LayersTest.java
+++ b/src/test/java/clovermill/LayersTest.java
@@ -33,8 +33,9 @@
     @Test
     void netAndStoreKnowNothingAboveThem() {
         noClasses().that().resideInAnyPackage("clovermill.net..", "clovermill.store..").should().dependOnClassesThat()
-                .resideInAnyPackage("clovermill", "clovermill.host..", "clovermill.front..", "clovermill.cache..",
-                "clovermill.channel..", "clovermill.ledger..", "clovermill.cli..", "clovermill.settings..",
+                .resideInAnyPackage("clovermill", "clovermill.director..", "clovermill.module..", "clovermill.host..",
+                "clovermill.front..", "clovermill.cache..", "clovermill.channel..", "clovermill.ledger..",
+                "clovermill.cli..", "clovermill.settings..",
                 "clovermill.reload..", "clovermill.admin..", "clovermill.outage..", "clovermill.upgrade..",
                 "clovermill.fleet..")
                 .check(CLASSES);
@@ -57,6 +58,12 @@
                 .check(CLASSES);
     }
 
+    @Test
+    void nobodyBelowKnowsTheWiringAndTheStepsOfTheEndAreDecidedWithoutIt() {
+        noClasses().that().resideOutsideOfPackages("clovermill.director..", "clovermill.cli..").should()
+                .dependOnClassesThat().resideInAPackage("clovermill.director..").check(CLASSES);
+    }
+
     @Test
     void onlyTheCommandLineMeetsItsLibraryAndNobodyCallsIt() {
         noClasses().that().resideOutsideOfPackage("clovermill.cli..").should().dependOnClassesThat()
--- a/src/test/java/clovermill/ScenarioTest.java
+++ b/src/test/java/clovermill/director/ScenarioTest.java
@@ -1,4 +1,4 @@
-package clovermill;
+package clovermill.director;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/test/java/clovermill/WarmupTest.java
+++ b/src/test/java/clovermill/director/WarmupTest.java
@@ -1,4 +1,4 @@
-package clovermill;
+package clovermill.director;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/clovermill/director/decide/FarewellTest.java
+++ b/src/test/java/clovermill/director/leave/decide/FarewellTest.java
@@ -1,8 +1,8 @@
-package clovermill.director.decide;
+package clovermill.director.leave.decide;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import clovermill.director.decide.Farewell.Step;
+import clovermill.director.leave.decide.Farewell.Step;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
