--- a/src/main/java/clovermill/CacheRouter.java
+++ b/src/main/java/clovermill/CacheRouter.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * The decisions of one director in front of a two-tier cache.
@@ -106,10 +107,18 @@
     sealed interface Event { }
 
     /**
-     * A client's request for one part of an object; {@code graceUs} is the time until the client gives up.
+     * A client's request for one part of an object; {@code graceUs} is the time until the client gives up, {@code
+     * allowed} tells of any member whether the request may meet it now, as target or as source.
      */
     record Request(String id, int requestClass, int tenant, long object, int part, int group, double sizeKb,
-            long graceUs, boolean repeat) implements Event { }
+            long graceUs, boolean repeat, Predicate<String> allowed) implements Event {
+
+        /** A request that may meet every member. */
+        public Request(String id, int requestClass, int tenant, long object, int part, int group, double sizeKb,
+                long graceUs, boolean repeat) {
+            this(id, requestClass, tenant, object, part, group, sizeKb, graceUs, repeat, member -> true);
+        }
+    }
 
     /** The answer of a streamed request has begun. */
     record Started(String request, int attempt, String member, long elapsedUs) implements Event { }
--- /dev/null
+++ b/src/main/java/clovermill/accord/Accord.java
@@ -0,0 +1,107 @@
+package clovermill.accord;
+
+import clovermill.accord.decide.Document;
+import clovermill.accord.decide.Register.Taken;
+import clovermill.net.Clock;
+import clovermill.store.Volume;
+import clovermill.task.TaskThread;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * This director's part in the one policy as it runs in service: a thread of its own with a UDP socket and, for a voter,
+ * a file. What holds is told on the director's loop.
+ */
+public final class Accord implements AutoCloseable {
+
+    private static final System.Logger LOG = System.getLogger(Accord.class.getName());
+    private static final int ROOM = 1024;
+    private static final long STOP_MS = 500;
+
+    private final DatagramChannel socket;
+    private final FileDisk disk;
+    private final LetterCodec codec;
+    private final List<InetSocketAddress> addresses;
+    private final int self;
+    private final Clock clock;
+    private final AccordTask task;
+    private final TaskThread<Mail> thread;
+
+    /**
+     * Begins once {@link #start} is called. {@code views} is told on {@code loop} of what holds from then on.
+     *
+     * @throws IllegalArgumentException naming the setting that cannot be used
+     */
+    public Accord(AccordSettings settings, AccordTask.Meaning meaning, Clock clock, Executor loop, Consumer<View> views)
+            throws IOException {
+        settings.check();
+        this.self = settings.self();
+        this.clock = clock;
+        this.addresses = settings.addresses();
+        this.codec = new LetterCodec(self, settings.key());
+        this.disk = settings.votes() ? new FileDisk(Volume.local(), Path.of(settings.folder())) : null;
+        this.socket = DatagramChannel.open().bind(addresses.get(self));
+        this.task = new AccordTask(new AccordTask.Place(self, settings.voters(), settings.terms()), meaning, this::send,
+                disk, new SecureRandom(), view -> loop.execute(() -> views.accept(view)), clock.micros());
+        this.thread = new TaskThread<>("accord", clock, task, ROOM, socket, this::received, fault -> { });
+    }
+
+    /** Takes part from now on. */
+    public void start() {
+        thread.start();
+    }
+
+    /**
+     * Hands in what operators want: a policy in place of version {@code follows}, or, with null, that a change is taken
+     * back. {@code done} hears on the accord's thread; null stands for no room.
+     */
+    public void want(long follows, Document policy, BiConsumer<Taken, Long> done) {
+        if (!thread.offer(new Mail.Wanted(follows, policy, done))) {
+            done.accept(null, 0L);
+        }
+    }
+
+    private void send(int to, Letter letter) {
+        if (to == self) {
+            thread.offer(new Mail.Arrived(letter)); // at a full mailbox it is lost, as on any link
+            return;
+        }
+        try {
+            socket.send(codec.write(to, letter), addresses.get(to));
+        } catch (IOException unreachable) {
+            LOG.log(Level.DEBUG, "a letter to director {0} is lost", to);
+        }
+    }
+
+    private void received(ByteBuffer datagram) {
+        try {
+            task.on(new Mail.Arrived(codec.read(datagram)), clock.micros());
+        } catch (LetterCodec.BadLetter bad) {
+            LOG.log(Level.DEBUG, "a datagram was ignored: {0}", bad.getMessage());
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            thread.stop(STOP_MS);
+            if (disk != null) {
+                disk.close();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+}
--- a/src/main/java/clovermill/admin/AdminFront.java
+++ b/src/main/java/clovermill/admin/AdminFront.java
@@ -1,5 +1,7 @@
 package clovermill.admin;
 
+import static java.util.Map.entry;
+
 import clovermill.admin.decide.Call;
 import clovermill.admin.decide.Desk;
 import clovermill.admin.decide.Reply;
@@ -26,9 +28,12 @@
     private static final int MOST_CALLERS = 16;
 
     /** RFC 9110, 15. */
-    private static final Map<Integer, String> PHRASES = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found",
-            405, "Method Not Allowed", 408, "Request Timeout", 413, "Content Too Large",
-            431, "Request Header Fields Too Large", 501, "Not Implemented", 503, "Service Unavailable");
+    private static final Map<Integer, String> PHRASES = Map.ofEntries(entry(200, "OK"), entry(202, "Accepted"),
+            entry(400, "Bad Request"), entry(404, "Not Found"),
+            entry(409, "Conflict"), entry(405, "Method Not Allowed"), entry(408, "Request Timeout"), entry(413,
+                    "Content Too Large"),
+            entry(431, "Request Header Fields Too Large"), entry(501, "Not Implemented"), entry(503,
+                    "Service Unavailable"));
 
     private final EventLoop loop;
     private final Clock clock;
@@ -63,6 +68,7 @@
         private final Connection connection;
         private final CallParser parser = new CallParser();
         private final Deadlines.Deadline patience;
+        private boolean asked;
         private boolean answered;
 
         Caller(Connection connection) {
@@ -73,17 +79,22 @@
 
         @Override
         public void received(ByteBuffer data) {
-            if (answered) {
+            if (asked || answered) {
                 data.position(data.limit());
                 return;
             }
             try {
                 Call call = parser.parse(data);
                 if (call != null) {
-                    Reply reply = desk.answer(call);
-                    LOG.log(call.method().equals("GET") ? Level.DEBUG : Level.INFO, "operators call {0} {1} {2}: {3}",
-                            call.method(), call.path(), call.body().replaceAll("\\p{Cntrl}", " "), reply.reason());
-                    answer(reply);
+                    asked = true;
+                    desk.answer(call, reply -> {
+                        LOG.log(call.method().equals("GET") ? Level.DEBUG : Level.INFO,
+                                "operators call {0} {1} {2}: {3}",
+                                call.method(), call.path(), call.body().replaceAll("\\p{Cntrl}", " "), reply.reason());
+                        if (!answered) {
+                            answer(reply);
+                        }
+                    });
                 } else if (parser.waitsToSend()) {
                     say("HTTP/1.1 100 Continue\r\n\r\n");
                 }
@@ -129,7 +140,7 @@
         /** A caller may close its side as soon as it has written its call, and still read. */
         @Override
         public void ended() {
-            if (!answered) {
+            if (!asked && !answered) {
                 answer(new Reply(400, "the call ended early"));
             }
         }
--- a/src/main/java/clovermill/admin/CallParser.java
+++ b/src/main/java/clovermill/admin/CallParser.java
@@ -31,9 +31,11 @@
 
     private enum State { LINE, HEADERS, SIZED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, DONE }
 
-    /** The known calls take some hundred bytes; these bounds are what a caller may make the director hold. */
+    /**
+     * A policy takes some kilobytes, other calls some hundred bytes; this is what a caller may make the director hold.
+     */
     private static final int LARGEST_HEAD = 8192;
-    private static final int LARGEST_BODY = 4096;
+    private static final int LARGEST_BODY = 1 << 17;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,9}");
     private static final Pattern CHUNK_LENGTH = Pattern.compile("[0-9a-fA-F]{1,7}");
     private static final Pattern LINE = Pattern.compile("([A-Za-z]+) +(/[^ ?#]*)([?][^ ]*)? +HTTP/1\\.[01] *");
--- a/src/main/java/clovermill/admin/decide/Desk.java
+++ b/src/main/java/clovermill/admin/decide/Desk.java
@@ -1,6 +1,7 @@
 package clovermill.admin.decide;
 
 import clovermill.config.Json;
+import java.util.function.Consumer;
 
 /** Decides how the calls of operators are answered, and has done what they ask for. */
 public final class Desk {
@@ -20,15 +21,42 @@
         boolean putBack(String id);
     }
 
+    /** What can be asked about the one policy of the fleet; answers may come later. */
+    public interface Policies {
+
+        /** What holds here. */
+        Reply show();
+
+        /** A change. */
+        void put(String body, Consumer<Reply> reply);
+
+        /** The change that is under way is to be taken back. */
+        void drop(Consumer<Reply> reply);
+    }
+
     private final Director director;
+    private final Policies policies;
 
-    public Desk(Director director) {
+    /** {@code policies} is null where this director takes no part in a policy. */
+    public Desk(Director director, Policies policies) {
         this.director = director;
+        this.policies = policies;
+    }
+
+    /** The one answer to a call goes to {@code reply}, maybe later. */
+    public void answer(Call call, Consumer<Reply> reply) {
+        switch (policies == null ? "" : call.method() + " " + call.path()) {
+            case "PUT /policy" -> policies.put(call.body(), reply);
+            case "DELETE /policy/pending" -> policies.drop(reply);
+            case "GET /policy" -> reply.accept(policies.show());
+            default -> reply.accept(answer(call));
+        }
     }
 
-    /** The one answer to a call. */
-    public Reply answer(Call call) {
-        return switch (call.path()) {
+    private Reply answer(Call call) {
+        return switch (policies == null && call.path().startsWith("/policy") ? "" : call.path()) {
+            case "/policy" -> wrongMethod("GET, PUT");
+            case "/policy/pending" -> wrongMethod("DELETE");
             case "/ready" -> !call.method().equals("GET") ? wrongMethod("GET")
                     : director.ready() ? new Reply(200, "ready") : new Reply(503, "this process cannot serve");
             case "/caches/disable" -> !call.method().equals("PUT") ? wrongMethod("PUT") : change(call, true);
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -181,8 +181,14 @@
     private void begin() {
         if (connected && connection.queuedBytes() == 0 && !waiting.isEmpty()) {
             for (Exchange next = waiting.poll(); next != null; next = waiting.poll()) {
-                next.begin();
+                if (next.ending.may()) {
+                    next.begin();
+                } else {
+                    open.remove(next.id, next);
+                    next.end(Result.NOT_SENT, Note.NONE, 0, null);
+                }
             }
+            settled();
         }
     }
 
@@ -212,6 +218,11 @@
      */
     @Override
     public void flushing() {
+        if (connection.queuedBytes() > 0
+                && open.values().stream().anyMatch(each -> each.begun && !each.whole && !each.ending.may())) {
+            connection.close(); // what is still queued here must not go out any more
+            return;
+        }
         begin();
     }
 
--- a/src/main/java/clovermill/director/Assembly.java
+++ b/src/main/java/clovermill/director/Assembly.java
@@ -1,6 +1,9 @@
 package clovermill.director;
 
 import clovermill.CacheRouter;
+import clovermill.accord.Accord;
+import clovermill.accord.AccordSettings;
+import clovermill.accord.AccordTask;
 import clovermill.admin.AdminFront;
 import clovermill.admin.decide.Desk;
 import clovermill.cache.CachePool;
@@ -12,11 +15,13 @@
 import clovermill.director.leave.Departure;
 import clovermill.director.operate.Fellows;
 import clovermill.director.operate.Operations;
+import clovermill.director.operate.PolicyDesk;
 import clovermill.director.operate.Sharing;
 import clovermill.director.retune.Retuning;
 import clovermill.fleet.Fleet;
 import clovermill.fleet.FleetSettings;
 import clovermill.front.FrameFront;
+import clovermill.host.Audit;
 import clovermill.host.Host;
 import clovermill.ledger.Ledger;
 import clovermill.ledger.LedgerSettings;
@@ -26,12 +31,14 @@
 import clovermill.net.Deadlines;
 import clovermill.net.EventLoop;
 import clovermill.outage.OutageMarks;
+import clovermill.placement.Placement;
 import clovermill.outage.Outages;
 import clovermill.reload.Reloader;
 import clovermill.store.Volume;
 import clovermill.upgrade.Shares;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 
 /** One director: its parts, wired together. */
@@ -63,6 +70,8 @@
     private final Ledger ledger;
     /** Null where this director tells others nothing. */
     private final Fleet fleet;
+    /** Null where no policy of the whole fleet is kept. */
+    private final Accord accord;
 
     /**
      * Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. Later
@@ -70,6 +79,7 @@
      * director acts alone.
      */
     Assembly(Config config, Path file, Clock clock, long settleUs, LedgerSettings kept, FleetSettings fellows,
+            AccordSettings agreed,
             Platform platform) throws IOException, Json.Malformed {
         CacheRouter.Settings settings = config.settings();
         Commands known = Commands.read(config.known(), config.zones(), config.kinds());
@@ -86,8 +96,11 @@
                 loop::post, Volume.local());
         fleet = fellows == null ? null : new Fleet(fellows, config.classes(), settings.answerSlackUs(), clock,
                 deadlines, ledger);
+        Audit audit = fleet == null ? ledger : fleet;
+        Placement placement = agreed == null ? null : new Placement(clock, settings, config.zones(), config.classes(),
+                agreed.allBound(), audit);
         Host host = new Host(new Policy(settings, config.seed()), settings, clock, deadlines, pool,
-                fleet == null ? ledger : fleet);
+                placement == null ? audit : placement, placement);
         Roster roster = new Roster(clock, pool, host, new Outages(), settings.originKind());
         roster.start(known);
         channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
@@ -110,8 +123,23 @@
             fleet.open(loop, new Fellows(roster, marks, clock));
             marks = new Fellows.Telling(marks, fleet);
         }
+        PolicyDesk[] policies = {null};
+        accord = agreed == null ? null : new Accord(agreed, new AccordTask.Meaning(document -> placement.check(
+                document.text()), (one, other) -> placement.binding(one.text(), other.text())), clock, loop::post,
+                        view -> {
+                    if (view.step() != null) {
+                        placement.holds(view.step().both() ? List.of(view.policy().text(), view.next().text())
+                                : List.of(view.policy().text()), view.untilUs());
+                    }
+                    policies[0].holds(view);
+                });
+        policies[0] = accord == null ? null : new PolicyDesk(accord, clock, loop::post);
         admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(
-                new Operations(roster, front, clock, marks, sharing == null ? () -> { } : sharing::catchUp)));
+                new Operations(roster, front, clock, marks, sharing == null ? () -> { } : sharing::catchUp),
+                        policies[0]));
+        if (accord != null) {
+            accord.start();
+        }
         if (admin != null) {
             admin.open(platform.admin());
         }
@@ -148,6 +176,9 @@
         if (fleet != null) {
             fleet.close();
         }
+        if (accord != null) {
+            accord.close();
+        }
         if (ledger != null) {
             ledger.close();
         }
--- a/src/main/java/clovermill/director/Service.java
+++ b/src/main/java/clovermill/director/Service.java
@@ -1,5 +1,6 @@
 package clovermill.director;
 
+import clovermill.accord.AccordSettings;
 import clovermill.config.Config;
 import clovermill.config.Json;
 import clovermill.fleet.FleetSettings;
@@ -38,12 +39,14 @@
         SettingsFile own = null;
         LedgerSettings ledger = null;
         FleetSettings fleet = null;
+        AccordSettings accord = null;
         if (settings != null) {
             try {
                 own = SettingsFile.read(settings);
                 Optional<LogSettings> log = own.part("log", LogSettings.class);
                 ledger = own.part("ledger", LedgerSettings.class).orElse(null);
                 fleet = own.part("fleet", FleetSettings.class).orElse(null);
+                accord = own.part("accord", AccordSettings.class).orElse(null);
                 log.ifPresent(StructuredLog::start);
             } catch (SettingsFile.Fault fault) {
                 throw new BadStart(fault.getMessage());
@@ -56,7 +59,7 @@
         Assembly director;
         try {
             Config config = Config.load(file, System.getenv("BALANCER_LISTEN"));
-            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger, fleet,
+            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger, fleet, accord,
                     Platform.read(System.getenv(), config));
             run(director, config);
         } catch (Json.Malformed bad) {
@@ -141,6 +144,7 @@
             if (fleet.isPresent()) {
                 fleet.get().check(classes);
             }
+            own.part("accord", AccordSettings.class).ifPresent(AccordSettings::check);
         } catch (Json.Malformed bad) {
             throw new BadStart("the configuration: " + bad.getMessage());
         } catch (IllegalArgumentException bad) {
--- /dev/null
+++ b/src/main/java/clovermill/director/operate/PolicyDesk.java
@@ -0,0 +1,106 @@
+package clovermill.director.operate;
+
+import clovermill.accord.Accord;
+import clovermill.accord.View;
+import clovermill.accord.decide.Document;
+import clovermill.accord.decide.Register.Taken;
+import clovermill.admin.decide.Desk;
+import clovermill.admin.decide.Reply;
+import clovermill.net.Clock;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+/** Operators' calls about the one policy: what holds, a change, taking a change back. On the loop's thread. */
+public final class PolicyDesk implements Desk.Policies {
+
+    private static final JsonMapper JSON = JsonMapper.builder().enable(JsonWriteFeature.ESCAPE_NON_ASCII).build();
+
+    private final Accord accord;
+    private final Clock clock;
+    private final Executor loop;
+    private View view = View.NONE;
+
+    /** Answers come on {@code loop}. */
+    public PolicyDesk(Accord accord, Clock clock, Executor loop) {
+        this.accord = accord;
+        this.clock = clock;
+        this.loop = loop;
+    }
+
+    /** What holds from now on. */
+    public void holds(View now) {
+        view = now;
+    }
+
+    @Override
+    public Reply show() {
+        if (view.step() == null) {
+            return new Reply(503, "this director has not learned of the policy yet");
+        }
+        try {
+            ObjectNode answer = JSON.createObjectNode().put("version", view.step().version())
+                    .put("step", view.step().number()).put("lease_ms", Math.max(0,
+                            (view.untilUs() - clock.micros()) / 1000));
+            answer.set("policy", JSON.readTree(view.policy().text()));
+            if (view.step().both()) {
+                answer.put("next", view.step().next()).put("at_the_latest_ms", view.leftUs() / 1000);
+                answer.set("waits_for", JSON.valueToTree(view.missing()));
+                answer.set("next_policy", JSON.readTree(view.next().text()));
+            }
+            if (view.lastReason() != null) {
+                answer.put("last_taken_back", view.lastReason());
+            }
+            return new Reply(200, JSON.writeValueAsString(answer));
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    @Override
+    public void put(String body, Consumer<Reply> reply) {
+        JsonNode call;
+        try {
+            call = JSON.readTree(body);
+        } catch (JsonProcessingException bad) {
+            reply.accept(new Reply(400, "body: " + bad.getOriginalMessage()));
+            return;
+        }
+        if (call == null || !call.path("follows").isIntegralNumber() || !call.path("policy").isObject()) {
+            reply.accept(new Reply(400, "body: {\"follows\": VERSION, \"policy\": {...}} is wanted"));
+            return;
+        }
+        accord.want(call.get("follows").asLong(),
+                Document.of(call.get("policy").toString().chars().allMatch(c -> c < 128)
+                ? call.get("policy").toString() : ascii(call.get("policy"))), (taken, version) -> loop.execute(() ->
+                reply.accept(answer(taken, version))));
+    }
+
+    private static String ascii(JsonNode policy) {
+        try {
+            return JSON.writeValueAsString(policy);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private static Reply answer(Taken taken, long version) {
+        return taken == null ? new Reply(503, "too many calls wait for the voters")
+                : taken == Taken.CONFLICT ? new Reply(409, "another change came first: version " + version)
+                : new Reply(202, "{\"version\":" + version + "}");
+    }
+
+    @Override
+    public void drop(Consumer<Reply> reply) {
+        if (view.step() == null || !view.step().both()) {
+            reply.accept(new Reply(409, "no change is under way"));
+            return;
+        }
+        accord.want(view.step().next(), null, (taken, version) -> loop.execute(() -> reply.accept(answer(taken,
+                version))));
+    }
+}
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * The core of a director, without any protocol in it: owns requests and their attempts, carries out what the
@@ -21,6 +22,8 @@
 
     private static final System.Logger LOG = System.getLogger(Host.class.getName());
 
+    private static final Predicate<String> ANY = member -> true;
+
     private final CacheRouter router;
     private CacheRouter.Permissions allowed;
     private long slackUs;
@@ -29,6 +32,8 @@
     private final Upstream upstream;
     /** Null where nobody keeps count. */
     private final Audit audit;
+    /** Null where nothing binds requests. */
+    private final Bounds bounds;
     private final Map<String, Call> calls = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean delivering;
@@ -36,12 +41,13 @@
     /** A host of whose requests nobody keeps count. */
     public Host(CacheRouter router, CacheRouter.Settings settings, Clock clock, Deadlines deadlines,
             Upstream upstream) {
-        this(router, settings, clock, deadlines, upstream, null);
+        this(router, settings, clock, deadlines, upstream, null, null);
     }
 
-    /** {@code audit} may be null. */
+    /** {@code audit} and {@code bounds} may be null. */
     public Host(CacheRouter router, CacheRouter.Settings settings, Clock clock, Deadlines deadlines,
-            Upstream upstream, Audit audit) {
+            Upstream upstream, Audit audit, Bounds bounds) {
+        this.bounds = bounds;
         this.router = router;
         this.allowed = settings.allowed();
         this.slackUs = settings.answerSlackUs();
@@ -57,6 +63,8 @@
         final long takenUs = clock.micros();
         final long deadlineUs;
         final Map<Integer, Attempt> out = new HashMap<>(2);
+        /** Null where nothing binds it. */
+        final Predicate<String> allowed;
         /** Guards the rule of one answer in time against a module that says nothing. */
         final Deadlines.Deadline overdue;
         private Asker asker;
@@ -65,6 +73,7 @@
         Call(Ask ask, Asker asker) {
             this.ask = ask;
             this.asker = asker;
+            this.allowed = bounds == null ? null : bounds.bind(ask);
             this.deadlineUs = takenUs + ask.waitUs();
             this.overdue = deadlines.add(deadlineUs + slackUs / 2, this::overdue);
         }
@@ -145,6 +154,11 @@
             this.member = member;
         }
 
+        @Override
+        public boolean may() {
+            return call.allowed == null || call.allowed.test(member) && (source == null || call.allowed.test(source));
+        }
+
         @Override
         public void reported(CacheRouter.LoadReport report) {
             load = report;
@@ -204,10 +218,11 @@
             notTaken(ask, Usage.End.REFUSED);
             return;
         }
-        calls.put(ask.id(), new Call(ask, asker));
+        Call call = new Call(ask, asker);
+        calls.put(ask.id(), call);
         deliver(new CacheRouter.Request(ask.id(), ask.requestClass(), 0,
                 Long.parseUnsignedLong(ask.object(), 16), ask.part(), ask.group(), ask.sizeKb(),
-                ask.waitUs(), ask.repeat()));
+                ask.waitUs(), ask.repeat(), call.allowed == null ? ANY : call.allowed));
     }
 
     /** Tells the audit of a request that a front or the host turned away before the module saw it. */
--- a/src/main/java/clovermill/host/Upstream.java
+++ b/src/main/java/clovermill/host/Upstream.java
@@ -17,6 +17,13 @@
     /** Told exactly once how an exchange ended, unless it was given up. */
     interface Ending {
 
+        /**
+         * Whether the attempt may begin, or go on, at this moment; asked each time its bytes are about to be written.
+         */
+        default boolean may() {
+            return true;
+        }
+
         /** The member's answer, which follows, brings a report of its load. */
         default void reported(LoadReport load) { }
 
--- a/src/main/java/clovermill/ledger/Ledger.java
+++ b/src/main/java/clovermill/ledger/Ledger.java
@@ -13,7 +13,7 @@
 import clovermill.ledger.decide.Entry;
 import clovermill.ledger.decide.How;
 import clovermill.ledger.decide.Missed;
-import clovermill.ledger.decide.TenantRules;
+import clovermill.tenants.TenantRules;
 import clovermill.ledger.decide.Timeline;
 import clovermill.net.Clock;
 import clovermill.net.Deadlines;
--- a/src/main/java/clovermill/ledger/LedgerSettings.java
+++ b/src/main/java/clovermill/ledger/LedgerSettings.java
@@ -1,7 +1,7 @@
 package clovermill.ledger;
 
 import clovermill.ledger.decide.Allowances;
-import clovermill.ledger.decide.TenantRules;
+import clovermill.tenants.TenantRules;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/clovermill/module/Health.java
+++ b/src/main/java/clovermill/module/Health.java
@@ -10,7 +10,8 @@
 
     /** Whether a member can take this request now: fit, not tried in vain, within its budget if cold. */
     boolean usable(Node node, Pending pending) {
-        return fit(node) && !pending.failed.contains(node) && state.cold.bears(node);
+        return fit(node) && !pending.failed.contains(node) && pending.request.allowed().test(node.id)
+                && state.cold.bears(node);
     }
 
     /**
--- a/src/main/java/clovermill/ledger/decide/TenantRules.java
+++ b/src/main/java/clovermill/tenants/TenantRules.java
@@ -1,4 +1,4 @@
-package clovermill.ledger.decide;
+package clovermill.tenants;
 
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/clovermill/ledger/decide/DecisionsTest.java
+++ b/src/test/java/clovermill/ledger/decide/DecisionsTest.java
@@ -1,5 +1,6 @@
 package clovermill.ledger.decide;
 
+import clovermill.tenants.TenantRules;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.within;
--- a/src/test/java/clovermill/prove/CacheFleet.java
+++ b/src/test/java/clovermill/prove/CacheFleet.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -264,6 +265,9 @@
         }
     }
 
+    /** Hears of every request that comes to a cache, in the order in which they come, on the stand-ins' thread. */
+    volatile Consumer<String> heard = fields -> { };
+
     private final class Peer extends LinePeer {
         private final Box box;
         private final Map<String, Transfer> open = new HashMap<>();
@@ -277,6 +281,7 @@
         void want(String id, String fields) {
             long now = clock.micros();
             String token = field(fields, "token");
+            heard.accept(fields);
             boolean fills = field(fields, "src") != null && !field(fields, "src").equals(box.model.id);
             double work = token == null ? workUs : ORDER_WORK_US;
             box.lastUs = now;
