--- a/src/main/java/clovermill/accord/AccordSettings.java
+++ b/src/main/java/clovermill/accord/AccordSettings.java
@@ -1,16 +1,10 @@
 package clovermill.accord;
 
 import clovermill.accord.decide.Terms;
+import clovermill.net.Peers;
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.List;
 
 /**
@@ -22,7 +16,6 @@
         @JsonProperty("key_file") String keyFile, String folder, @JsonProperty("lease_ms") Long leaseMs,
         @JsonProperty("ask_ms") Long askMs, Double drift, @JsonProperty("without_lease") String withoutLease) {
 
-    private static final int LEAST_KEY = 16;
     private static final List<Integer> GROUPS = List.of(3, 5, 7);
 
     /** Checks what no schema can; an {@link IllegalArgumentException} says which field and why. */
@@ -61,30 +54,10 @@
     }
 
     List<InetSocketAddress> addresses() {
-        List<InetSocketAddress> all = new ArrayList<>();
-        for (String each : directors) {
-            int cut = each.lastIndexOf(':');
-            try {
-                all.add(new InetSocketAddress(InetAddress.getByName(each.substring(0, cut)),
-                        Integer.parseInt(each.substring(cut + 1))));
-            } catch (IndexOutOfBoundsException | IllegalArgumentException | UnknownHostException bad) {
-                throw new IllegalArgumentException("/accord/directors: " + each + " is no address:port");
-            }
-        }
-        return all;
+        return Peers.addresses("/accord", directors);
     }
 
-    /** The key: hex digits in a file, 16 bytes at least. */
     byte[] key() {
-        try {
-            byte[] key = HexFormat.of().parseHex(Files.readString(Path.of(keyFile)).strip());
-            if (key.length >= LEAST_KEY) {
-                return key;
-            }
-        } catch (IOException | IllegalArgumentException unusable) {
-            // told below
-        }
-        throw new IllegalArgumentException("/accord/key_file: " + keyFile
-                + " does not hold 16 bytes or more in hex digits");
+        return Peers.key("/accord", keyFile);
     }
 }
--- a/src/main/java/clovermill/accord/AccordTask.java
+++ b/src/main/java/clovermill/accord/AccordTask.java
@@ -184,6 +184,9 @@
 
     @Override
     public long tick(long nowUs) {
+        if (disk != null && disk.failed()) {
+            throw new IllegalStateException("the voter's file cannot be written");
+        }
         long next = agenda.run(nowUs);
         if (voter != null && voter.stuck(nowUs)) {
             voter.stop();
--- a/src/main/java/clovermill/accord/Disk.java
+++ b/src/main/java/clovermill/accord/Disk.java
@@ -9,6 +9,11 @@
     /** What was kept, or null if that is nothing, or not whole: its promises are not known then. */
     RestoredRaftState restored();
 
+    /** Whether a promise could not be written: the part must end before it makes another. */
+    default boolean failed() {
+        return false;
+    }
+
     /** Forgets all: a new seat begins. */
     void clear();
 }
--- a/src/main/java/clovermill/accord/FileDisk.java
+++ b/src/main/java/clovermill/accord/FileDisk.java
@@ -53,6 +53,7 @@
     private final Path file;
     private SegmentWriter writer;
     private boolean replaying;
+    private boolean failed;
 
     /** In a folder that lasts and is this director's alone; makes it if need be. */
     FileDisk(Volume volume, Path folder) throws IOException {
@@ -130,7 +131,7 @@
             content.to(out);
             writer.add(type, ByteBuffer.wrap(bytes.toByteArray()));
         } catch (IOException failure) {
-            throw new UncheckedIOException(failure); // who cannot keep a promise must not make it
+            throw failed(failure);
         }
     }
 
@@ -145,7 +146,7 @@
         try {
             begin(false);
         } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
+            throw failed(failure);
         }
     }
 
@@ -214,10 +215,21 @@
         try {
             writer.force();
         } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
+            throw failed(failure);
         }
     }
 
+    @Override
+    public boolean failed() {
+        return failed;
+    }
+
+    /** Who cannot keep a promise must not make it. */
+    private UncheckedIOException failed(IOException failure) {
+        failed = true;
+        return new UncheckedIOException(failure);
+    }
+
     void close() throws IOException {
         writer.close();
     }
--- a/src/main/java/clovermill/accord/Leading.java
+++ b/src/main/java/clovermill/accord/Leading.java
@@ -25,6 +25,8 @@
     private static final int MOST_WAITING = 4096;
     private static final int MOST_SUBMITTED = 64;
     private static final int PARTS_AT_ONCE = 16;
+    /** How often all are called on after a change. */
+    private static final int CALLS = 3;
 
     private enum Stage { FETCHING, PUTTING }
 
@@ -41,6 +43,7 @@
     private boolean reading;
     private boolean deciding;
     private long callAtUs;
+    private int calls;
 
     /** {@code binding} says whether all that differs between two policies is refused where there is no lease. */
     Leading(int self, Terms terms, Voter voter, Library library, Post post, BiPredicate<Document, Document> binding,
@@ -72,23 +75,24 @@
                 voter.put(due, result -> deciding = false);
             }
         }
-        if (nowUs >= callAtUs) {
-            callAtUs = nowUs + terms.askUs() / 2;
-            for (int director : register.step().both() ? missing() : Set.<Integer>of()) {
-                post.send(director, new Letter.Elsewhere(self, -1, self));
+        boolean calling = register.step().both() || calls > 0;
+        if (calling && nowUs >= callAtUs) {
+            callAtUs = nowUs + terms.askUs() / 5;
+            calls--;
+            // In a change those that have not confirmed; after it all, more than once, as a call may be lost.
+            for (int director = 0; director < terms.directors(); director++) {
+                if (!register.step().both() || !overseer.confirmed().containsKey(director)) {
+                    post.send(director, new Letter.Elsewhere(self, -1, self));
+                }
             }
         }
-        return nowUs + (register.step().both() ? terms.askUs() / 10 : terms.askUs() / 2);
+        return nowUs + (calling ? terms.askUs() / 10 : terms.askUs() / 2);
     }
 
     /** The register has changed: who may not know of it is called on. */
     void changed() {
         callAtUs = 0;
-        if (voter.leads() && !voter.register().step().both()) {
-            for (int i = 0; i < terms.directors(); i++) {
-                post.send(i, new Letter.Elsewhere(self, -1, self));
-            }
-        }
+        calls = CALLS;
     }
 
     void asked(Letter.Ask ask) {
--- a/src/main/java/clovermill/accord/LetterCodec.java
+++ b/src/main/java/clovermill/accord/LetterCodec.java
@@ -2,19 +2,18 @@
 
 import clovermill.accord.decide.Register.Taken;
 import clovermill.accord.decide.Step;
+import clovermill.net.Peers;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Arrays;
 import java.util.Set;
 import java.util.TreeSet;
 import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 
 /**
  * Letters as datagrams, signed with the fleet's key (HMAC-SHA-256, RFC 2104, its first 16 bytes). Big-endian:
@@ -25,7 +24,7 @@
  * </pre>
  *
  * <p>Whatever is not exactly this, for this director and by this key, is a {@link BadLetter} and nothing else. A letter
- * that is played again does no harm: each is bound to a process, a question or a step.
+ * that is played again gives no lease and no vote: each is bound to a process, a question, a term or a step.
  */
 final class LetterCodec {
 
@@ -47,12 +46,7 @@
 
     LetterCodec(int self, byte[] key) {
         this.self = self;
-        try {
-            mac = Mac.getInstance("HmacSHA256");
-            mac.init(new SecretKeySpec(key, "HmacSHA256"));
-        } catch (GeneralSecurityException impossible) {
-            throw new IllegalStateException(impossible);
-        }
+        mac = Peers.mac(key);
     }
 
     /** A letter to a fellow, ready to be sent. */
--- a/src/main/java/clovermill/admin/AdminFront.java
+++ b/src/main/java/clovermill/admin/AdminFront.java
@@ -29,11 +29,10 @@
 
     /** RFC 9110, 15. */
     private static final Map<Integer, String> PHRASES = Map.ofEntries(entry(200, "OK"), entry(202, "Accepted"),
-            entry(400, "Bad Request"), entry(404, "Not Found"),
-            entry(409, "Conflict"), entry(405, "Method Not Allowed"), entry(408, "Request Timeout"), entry(413,
-                    "Content Too Large"),
-            entry(431, "Request Header Fields Too Large"), entry(501, "Not Implemented"), entry(503,
-                    "Service Unavailable"));
+            entry(400, "Bad Request"), entry(404, "Not Found"), entry(405, "Method Not Allowed"),
+            entry(408, "Request Timeout"), entry(409, "Conflict"), entry(413, "Content Too Large"),
+            entry(431, "Request Header Fields Too Large"), entry(501, "Not Implemented"),
+            entry(503, "Service Unavailable"), entry(504, "Gateway Timeout"));
 
     private final EventLoop loop;
     private final Clock clock;
@@ -123,7 +122,8 @@
             if (answered) {
                 connection.close();
             } else {
-                answer(new Reply(408, "the call was not whole in time"));
+                answer(asked ? new Reply(504, "the voters have not answered: GET /policy tells what became of it")
+                        : new Reply(408, "the call was not whole in time"));
             }
         }
 
--- a/src/main/java/clovermill/fleet/FleetSettings.java
+++ b/src/main/java/clovermill/fleet/FleetSettings.java
@@ -4,15 +4,10 @@
 import clovermill.fleet.decide.LeasedOpen;
 import clovermill.fleet.decide.LeasedRate;
 import clovermill.fleet.decide.Slice;
+import clovermill.net.Peers;
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 
 /**
@@ -30,7 +25,6 @@
     public record Limit(String name, @JsonProperty("class") String requestClass, List<Integer> groups, boolean repeats,
             @JsonProperty("per_second") Double perSecond, Integer open) { }
 
-    private static final int LEAST_KEY = 16;
     private static final long MOST_TERM_MS = 60_000;
 
     /** Checks what no schema can; an {@link IllegalArgumentException} says which field and why. */
@@ -85,32 +79,10 @@
     }
 
     List<InetSocketAddress> addresses() {
-        List<InetSocketAddress> all = new ArrayList<>();
-        for (String each : directors) {
-            int cut = each.lastIndexOf(':');
-            try {
-                all.add(new InetSocketAddress(InetAddress.getByName(each.substring(0, cut)),
-                        Integer.parseInt(each.substring(cut + 1))));
-            } catch (IndexOutOfBoundsException | IllegalArgumentException | UnknownHostException bad) {
-                throw new IllegalArgumentException("/fleet/directors: " + each + " is no address:port");
-            }
-        }
-        return all;
+        return Peers.addresses("/fleet", directors);
     }
 
-    /** The key: hex digits in a file, 16 bytes at least. */
     byte[] key() {
-        try {
-            byte[] key = HexFormat.of().parseHex(Files.readString(Path.of(keyFile)).strip());
-            if (key.length < LEAST_KEY) {
-                throw new IllegalArgumentException("/fleet/key_file: " + keyFile + " holds fewer than 16 bytes");
-            }
-            return key;
-        } catch (IOException unreadable) {
-            throw new IllegalArgumentException("/fleet/key_file: " + keyFile + " cannot be read");
-        } catch (IllegalArgumentException bad) {
-            throw bad.getMessage().startsWith("/fleet") ? bad
-                    : new IllegalArgumentException("/fleet/key_file: " + keyFile + " holds no hex digits");
-        }
+        return Peers.key("/fleet", keyFile);
     }
 }
--- a/src/main/java/clovermill/fleet/MessageCodec.java
+++ b/src/main/java/clovermill/fleet/MessageCodec.java
@@ -2,16 +2,15 @@
 
 import clovermill.fleet.decide.Message;
 import clovermill.fleet.decide.Verdict;
+import clovermill.net.Peers;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 
 /**
  * Messages as datagrams, signed with the fleet's key (HMAC-SHA-256, RFC 2104, its first 16 bytes). Big-endian:
@@ -49,12 +48,7 @@
 
     MessageCodec(int self, byte[] key) {
         this.self = self;
-        try {
-            mac = Mac.getInstance("HmacSHA256");
-            mac.init(new SecretKeySpec(key, "HmacSHA256"));
-        } catch (GeneralSecurityException impossible) {
-            throw new IllegalStateException(impossible);
-        }
+        mac = Peers.mac(key);
     }
 
     /** A message to a fellow, ready to be sent. */
--- a/src/main/java/clovermill/module/Path.java
+++ b/src/main/java/clovermill/module/Path.java
@@ -48,8 +48,8 @@
         Node home = cacheAt(0, pending);
         target = target == null ? home : target;
         if (target == null) {
-            return state.members.caches.members.stream()
-                    .anyMatch(cache -> state.health.fit(cache) && !state.cold.cold(cache)) ? null : straight(pending);
+            return state.members.caches.members.stream().anyMatch(c -> state.health.fit(c) && !state.cold.cold(c)
+                    && pending.request.allowed().test(c.id)) ? null : straight(pending);
         }
         Node roomy = withRoom(target, copies, pending);
         if (roomy == null) {
--- /dev/null
+++ b/src/test/java/clovermill/BoundRequestTest.java
@@ -0,0 +1,61 @@
+package clovermill;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import clovermill.CacheRouter.Action;
+import clovermill.CacheRouter.Availability;
+import clovermill.CacheRouter.ListScope;
+import clovermill.CacheRouter.Member;
+import clovermill.CacheRouter.Members;
+import clovermill.CacheRouter.Note;
+import clovermill.CacheRouter.Outcome;
+import clovermill.CacheRouter.Request;
+import clovermill.CacheRouter.Result;
+import clovermill.CacheRouter.SendVia;
+import clovermill.config.Config;
+import clovermill.module.Policy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** The module is given the members that a request may meet, and keeps to them with targets, sources and repeats. */
+class BoundRequestTest {
+
+    private static final List<String> IDS = List.of("s-1", "s-2", "s-3", "p-1", "p-2", "o-1");
+
+    private static Member member(String id) {
+        int kind = id.charAt(0) == 's' ? 0 : id.charAt(0) == 'p' ? 1 : 2;
+        return new Member(id, kind == 0 ? 1 : 0, kind, 0, Availability.HEALTHY, 5, 0);
+    }
+
+    @Property(tries = 200)
+    void neitherTargetNorSourceNorRepeatIsOutside(@ForAll Set<@net.jqwik.api.constraints.IntRange(max = 5) Integer> places,
+            @ForAll long seed) throws Exception {
+        Policy policy = new Policy(Config.read(Files.readString(Path.of("src/test/resources/director.json"))
+                .replaceAll("\\$\\{[^}]*}", "127.0.0.1:9"), null).settings(), seed);
+        List<String> allowed = places.stream().map(IDS::get).toList();
+        List<Action> actions = new ArrayList<>();
+        policy.handle(0, new Members(ListScope.FULL, IDS.stream().map(BoundRequestTest::member).toList()),
+                actions::add);
+        for (int i = 0; i < 40; i++) {
+            String id = String.format("%016x", i);
+            policy.handle(i * 10_000, new Request(id, 1, 0, seed + i % 3, 0, 0, 4, 1_000_000, false, allowed::contains),
+                    actions::add);
+            for (int attempt = 0; attempt < 8; attempt++) {
+                Action last = actions.get(actions.size() - 1);
+                if (!(last instanceof SendVia via && via.request().equals(id))) {
+                    break;
+                }
+                assertThat(allowed).contains(via.member());
+                assertThat(via.source().equals("o-1") && via.member().startsWith("p") || allowed.contains(via.source()))
+                        .isTrue();
+                policy.handle(i * 10_000 + attempt, new Outcome(id, attempt, via.member(), i % 4 == 0 ? Result.OK
+                        : Result.REFUSED, 900, i % 4 == 0, Note.NONE, 0, null), actions::add);
+            }
+        }
+    }
+}
--- a/src/test/java/clovermill/prove/AccordProof.java
+++ b/src/test/java/clovermill/prove/AccordProof.java
@@ -63,7 +63,7 @@
 
     /** A short one for the tests; the line of figures. */
     static String shortly(int changes) throws Exception {
-        return new AccordProof(3, 3, 7).run(changes, 1);
+        return new AccordProof(3, 3, 11).run(changes, 1);
     }
 
     private String run(int wanted, int faultsEach) throws Exception {
@@ -166,7 +166,7 @@
     private void fault() throws Exception {
         faults++;
         int which = random.nextInt(count);
-        switch (random.nextInt(7)) {
+        switch (random.nextInt(9)) {
             case 0, 1 -> {
                 if (down.size() < (voters - 1) / 2 && down.add(which)) {
                     all.get(which).process.destroyForcibly().waitFor();
