--- a/src/test/java/clovermill/BoundRequestTest.java
+++ b/src/test/java/clovermill/BoundRequestTest.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 
 /** The module is given the members that a request may meet, and keeps to them with targets, sources and repeats. */
 class BoundRequestTest {
@@ -33,7 +34,7 @@
     }
 
     @Property(tries = 200)
-    void neitherTargetNorSourceNorRepeatIsOutside(@ForAll Set<@net.jqwik.api.constraints.IntRange(max = 5) Integer> places,
+    void neitherTargetNorSourceNorRepeatIsOutside(@ForAll Set<@IntRange(max = 5) Integer> places,
             @ForAll long seed) throws Exception {
         Policy policy = new Policy(Config.read(Files.readString(Path.of("src/test/resources/director.json"))
                 .replaceAll("\\$\\{[^}]*}", "127.0.0.1:9"), null).settings(), seed);
