--- a/src/main/java/clovermill/accord/decide/Library.java
+++ b/src/main/java/clovermill/accord/decide/Library.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -12,8 +13,11 @@
  */
 public final class Library {
 
+    /** Of more texts that are still being got, the one begun first is forgotten, and got anew if it is asked for. */
+    static final int MOST_INCOMPLETE = 16;
+
     private final Map<String, Document> whole = new HashMap<>();
-    private final Map<String, String[]> incomplete = new HashMap<>();
+    private final Map<String, String[]> incomplete = new LinkedHashMap<>();
 
     /** Takes a whole text in. */
     public void add(Document document) {
@@ -31,6 +35,9 @@
         List<Integer> wanted = new ArrayList<>();
         if (!whole.containsKey(digest) && parts > 0 && parts <= Register.MOST_PARTS) {
             String[] have = incomplete.computeIfAbsent(digest, key -> new String[parts]);
+            if (incomplete.size() > MOST_INCOMPLETE) {
+                incomplete.remove(incomplete.keySet().iterator().next());
+            }
             for (int i = 0; i < have.length && wanted.size() < most; i++) {
                 if (have[i] == null) {
                     wanted.add(i);
--- a/src/main/java/clovermill/placement/Placement.java
+++ b/src/main/java/clovermill/placement/Placement.java
@@ -148,7 +148,13 @@
         if (news.scope() == ListScope.FULL || news.scope() == ListScope.REMEMBERED) {
             members.clear();
         }
-        news.members().forEach(member -> members.put(member.id(), member));
+        for (Member member : news.members()) {
+            if (member.availability() == Availability.GONE) {
+                members.remove(member.id()); // ids are not used again, and would gather
+            } else {
+                members.put(member.id(), member);
+            }
+        }
         if (next != null) {
             next.members(news);
         }
--- a/src/test/java/clovermill/placement/PlacementTest.java
+++ b/src/test/java/clovermill/placement/PlacementTest.java
@@ -121,6 +121,13 @@
         assertThat(placement.turnsAway(ask(0))).isPositive();
     }
 
+    @Test
+    void aMemberThatIsGoneMayNotBeMet() {
+        placement.holds(List.of("{}"), 10_000);
+        placement.members(new Members(ListScope.CHANGES, List.of(new Member("s-1", 1, 0, 0, Availability.GONE, 1, 0))));
+        assertThat(placement.bind(ask(0)).test("s-1")).isFalse();
+    }
+
     @Test
     void aCacheThatChangesItsZoneUnderTheSameIdIsJudgedByTheNewOne() {
         placement.holds(List.of(policy(EDGE)), 10_000);
