After a client's end, or behind a flood of it, nothing new begins for its requests

Cause: FrameConnection.ended only set closing; inVain and frame paused the connection, so Connection.interest took no more reads; CacheConnection.begin asked for placement only, so that what was queued went out where a module may not call off. Change: Host.clientLeft bars a request: what has not begun is withdrawn, what is out may be answered, where nothing is out the final answer is given at once. Upstream.Ending.mayBegin and mayGoOn are asked at the write: client, window for repeats, placement. A purge withdraws what is queued for its objects; what is half written for them, or for a member that drains, ends its connection. A rejected client's answers are no longer taken away by a close over unread bytes (Linger); an idle connection is read once more before it is let go. Split as touched: Host (Call, Attempt), FrameConnection (ClientStreams, ...), CacheConnection (CacheExchange, AnswerWords).

--- a/src/main/java/clovermill/cache/AnswerParser.java
+++ b/src/main/java/clovermill/cache/AnswerParser.java
@@ -70,6 +70,11 @@
         return words != null || line.size() > 0;
     }
 
+    /** Whether a part of the answer with that id has been read. */
+    boolean answers(String id) {
+        return words != null && words[0].equals(id);
+    }
+
     /** Gives back what a broken connection leaves unfinished. */
     void close() {
         if (body != null) {
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -4,6 +4,7 @@
 import clovermill.CacheRouter.Result;
 import clovermill.config.LoadReports;
 import clovermill.host.Answer;
+import clovermill.host.Ask;
 import clovermill.host.Upstream;
 import clovermill.net.Body;
 import clovermill.net.Budget;
@@ -15,11 +16,15 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * One connection to a member. It owns its exchanges and ends each of them: by its answer, or when the
@@ -30,78 +35,21 @@
 
     /** Given-up ids that are remembered, lest a late answer be taken for that of a further attempt. */
     private static final int MOST_ABANDONED = 1000;
+    /** Ids that are remembered after their answer; a second copy comes some milliseconds late. */
+    private static final int MOST_USED = 200;
 
     private static final System.Logger LOG = System.getLogger(CacheConnection.class.getName());
-    private static final Map<String, Note> NOTE_NAMES = Map.of("HIT", Note.HIT, "MISS", Note.FILLED,
-            "MISS_ORIGIN", Note.ORIGIN_ASKED, "COLLAPSED", Note.JOINED, "STALE", Note.STALE,
-            "UP_BUSY", Note.SOURCE_REFUSED, "UP_DOWN", Note.SOURCE_UNREACHED, "UP_MISS", Note.SOURCE_LACKS,
-            "NO_FILL", Note.NO_PLACE, "ORIGIN_ERR", Note.ORIGIN_FAILED);
-
-    /** An exchange: queued here, then sent, then ended or given up. */
-    final class Exchange implements Upstream.Exchange {
-        final String id;
-        final String source;
-        private final List<ByteBuffer> request;
-        private final Upstream.Ending ending;
-        private boolean begun;
-        private boolean whole;
-        private Deadline beginBy;
-
-        Exchange(String id, String source, List<ByteBuffer> request, Upstream.Ending ending) {
-            this.id = id;
-            this.source = source;
-            this.request = request;
-            this.ending = ending;
-        }
-
-        @Override
-        public boolean heldHere() {
-            return !begun && connected && connection.queuedBytes() == 0;
-        }
-
-        @Override
-        public boolean giveUp() {
-            if (open.remove(id, this)) {
-                pool.cancel(beginBy);
-                waiting.remove(this);
-                if (begun) {
-                    abandoned.add(id);
-                    connection.send(text("never_mind " + id + "\r\n"));
-                    // Guards against a machine that vanished, and one that answers no more here: it resets
-                    // nothing, so a connection on which nothing came while requests waited is not trusted.
-                    boolean silent = unheardSinceUs > 0 && pool.dialTimeHasPassed(unheardSinceUs);
-                    if (silent || abandoned.size() >= MOST_ABANDONED) {
-                        retire();
-                    }
-                }
-                settled();
-            }
-            return begun;
-        }
-
-        private void begin() {
-            pool.cancel(beginBy);
-            begun = true;
-            unheardSinceUs = unheardSinceUs == 0 ? pool.now() : unheardSinceUs;
-            for (ByteBuffer part : request.subList(0, request.size() - 1)) {
-                connection.send(part);
-            }
-            connection.send(request.get(request.size() - 1), () -> whole = connection.isOpen());
-        }
-
-        private void end(Result result, Note note, long waitedUs, Answer answer) {
-            pool.cancel(beginBy);
-            ending.ended(result, note, waitedUs, answer);
-        }
-    }
-
     private final CachePool pool;
     private final Connection connection;
     private final AnswerParser parser;
     private final Budget budget;
-    private final Map<String, Exchange> open = new HashMap<>();
-    private final ArrayDeque<Exchange> waiting = new ArrayDeque<>();
+    private final Map<String, CacheExchange> open = new HashMap<>();
+    private final ArrayDeque<CacheExchange> waiting = new ArrayDeque<>();
     private final Set<String> abandoned = new HashSet<>();
+    /** Ids of lately, the eldest first: a second copy of an answer may be late, and must not be taken for another's. */
+    private final Set<String> used = new LinkedHashSet<>();
+    /** What was given up with a part of it unwritten. */
+    private final List<CacheExchange> unfinished = new ArrayList<>(1);
     private Deadline dialOrIdle;
     private Deadline stall;
     private boolean connected;
@@ -133,39 +81,81 @@
 
     /** Whether a request may share this connection: no other one with its id must be possible on it. */
     boolean takes(String id, int streams) {
-        return !retired && open.size() < streams && !open.containsKey(id) && !abandoned.contains(id);
+        return !retired && open.size() < streams && !open.containsKey(id) && !used.contains(id)
+                && !abandoned.contains(id);
+    }
+
+    /** Whether nothing but the end of this turn keeps back what is queued here. */
+    boolean idlesUntilFlush() {
+        return connected && connection.queuedBytes() == 0;
     }
 
-    Exchange send(String id, String source, List<ByteBuffer> request, Upstream.Ending ending) {
-        Exchange exchange = new Exchange(id, source, request, ending);
+    CacheExchange send(String id, Ask ask, String source, List<ByteBuffer> request, Upstream.Ending ending) {
+        CacheExchange exchange = new CacheExchange(this, id, ask, source, request, ending);
         if (connected) {
             pool.cancel(dialOrIdle);
         }
         open.put(id, exchange);
         waiting.add(exchange);
         // Guards the drain and purge rules: what could not be begun in a dial's time must not go out later.
-        exchange.beginBy = pool.dialDeadline(() -> withdraw(exchange));
+        exchange.beginBy = pool.dialDeadline(() -> withdraw(exchange, Result.UNCONNECTED));
         connection.flushSoon();
         return exchange;
     }
 
-    /** Withdraws queued requests that would go to, or be filled from, a member that is given no more work. */
-    void withdraw(boolean all, Set<String> sources) {
-        for (Exchange exchange : waiting.toArray(new Exchange[0])) {
-            if (all || sources.contains(exchange.source)) {
-                withdraw(exchange);
+    /** Withdraws what is queued and {@code which} names; what is half written is to go no further. */
+    void withdraw(Predicate<CacheExchange> which, Result result) {
+        for (CacheExchange exchange : List.copyOf(waiting)) {
+            if (which.test(exchange)) {
+                withdraw(exchange, result);
             }
         }
+        Stream.concat(open.values().stream(), unfinished.stream()).filter(which).forEach(CacheExchange::revoke);
     }
 
-    private void withdraw(Exchange exchange) {
+    private void withdraw(CacheExchange exchange, Result result) {
         if (waiting.remove(exchange)) {
             open.remove(exchange.id, exchange);
-            exchange.end(Result.UNCONNECTED, Note.NONE, 0, null);
+            pool.cancel(exchange.beginBy);
+            exchange.end(result, Note.NONE, 0, null);
+            settled();
+        }
+    }
+
+    /** Nobody waits for it any more on this side. */
+    void givenUp(CacheExchange exchange) {
+        if (open.remove(exchange.id, exchange)) {
+            pool.cancel(exchange.beginBy);
+            waiting.remove(exchange);
+            if (exchange.begun()) {
+                if (!exchange.isWhole()) {
+                    unfinished.add(exchange);
+                }
+                abandoned.add(exchange.id);
+                connection.send(text("never_mind " + exchange.id + "\r\n"));
+                // Guards against a machine that vanished, and one that answers no more here: it resets
+                // nothing, so a connection on which nothing came while requests waited is not trusted.
+                boolean silent = unheardSinceUs > 0 && pool.dialTimeHasPassed(unheardSinceUs);
+                if (silent || abandoned.size() >= MOST_ABANDONED || parser.answers(exchange.id)) {
+                    retire();
+                }
+                if (parser.answers(exchange.id)) {
+                    endUnlessAnswered(exchange.id);
+                }
+            }
             settled();
         }
     }
 
+    /** Guards against an answer that never ends, bit by bit: all behind it on this connection would wait in vain. */
+    private void endUnlessAnswered(String id) {
+        pool.dialDeadline(() -> {
+            if (!closed && parser.answers(id)) {
+                connection.close();
+            }
+        });
+    }
+
     /** No new requests here; closes once none is open. */
     void retire() {
         retired = true;
@@ -180,9 +170,10 @@
 
     private void begin() {
         if (connected && connection.queuedBytes() == 0 && !waiting.isEmpty()) {
-            for (Exchange next = waiting.poll(); next != null; next = waiting.poll()) {
-                if (next.ending.may()) {
-                    next.begin();
+            for (CacheExchange next = waiting.poll(); next != null; next = waiting.poll()) {
+                pool.cancel(next.beginBy);
+                if (next.ending.mayBegin()) {
+                    begin(next);
                 } else {
                     open.remove(next.id, next);
                     next.end(Result.NOT_SENT, Note.NONE, 0, null);
@@ -192,6 +183,23 @@
         }
     }
 
+    private void begin(CacheExchange exchange) {
+        unheardSinceUs = unheardSinceUs == 0 ? pool.now() : unheardSinceUs;
+        used.add(exchange.id);
+        if (used.size() > MOST_USED) {
+            used.remove(used.iterator().next());
+        }
+        List<ByteBuffer> parts = exchange.begin();
+        for (ByteBuffer part : parts.subList(0, parts.size() - 1)) {
+            connection.send(part);
+        }
+        connection.send(parts.get(parts.size() - 1), () -> {
+            if (connection.isOpen()) {
+                exchange.whole();
+            }
+        });
+    }
+
     /** Looks after a connection that may have become idle. */
     private void settled() {
         if (closed || !open.isEmpty()) {
@@ -218,8 +226,9 @@
      */
     @Override
     public void flushing() {
+        unfinished.removeIf(CacheExchange::isWhole);
         if (connection.queuedBytes() > 0
-                && open.values().stream().anyMatch(each -> each.begun && !each.whole && !each.ending.may())) {
+                && Stream.concat(open.values().stream(), unfinished.stream()).anyMatch(CacheExchange::mustStop)) {
             connection.close(); // what is still queued here must not go out any more
             return;
         }
@@ -264,8 +273,8 @@
 
     private void answer(String id, String word, Map<String, String> fields, Body body)
             throws ProtocolException {
-        Exchange exchange = open.get(id);
-        if (exchange == null || !exchange.begun) {
+        CacheExchange exchange = open.get(id);
+        if (exchange == null || !exchange.begun()) {
             // A late answer, a second copy or one under an unknown id: it costs only itself.
             abandoned.remove(id);
             body.close();
@@ -273,13 +282,13 @@
         }
         Result result;
         try {
-            result = result(word);
+            result = AnswerWords.result(word);
         } catch (ProtocolException malformed) {
             body.close();
             throw malformed;
         }
-        Note note = NOTE_NAMES.getOrDefault(fields.getOrDefault("res", ""), Note.NONE);
-        long waitedUs = micros(fields.get("ttfb"));
+        Note note = AnswerWords.note(fields.get("res"));
+        long waitedUs = AnswerWords.micros(fields.get("ttfb"));
         open.remove(id);
         unheardSinceUs = open.isEmpty() ? 0 : heardUs;
         Answer answer = result != Result.OK ? null : new Answer(body, word.equals("KEEP"), fields.get("etag"));
@@ -295,7 +304,7 @@
     }
 
     /** A report that can't be read is none: the answer that brought it is as good as ever. */
-    private static void report(Exchange exchange, String gauges) {
+    private static void report(CacheExchange exchange, String gauges) {
         try {
             exchange.ending.reported(LoadReports.read(gauges, ";"));
         } catch (NumberFormatException unreadable) {
@@ -303,25 +312,6 @@
         }
     }
 
-    private static Result result(String word) throws ProtocolException {
-        return switch (word) {
-            case "DONE", "KEEP", "FIT" -> Result.OK;
-            case "LACK" -> Result.MISS;
-            case "WAIT" -> Result.REFUSED;
-            case "BROKE", "UNFIT" -> Result.ERROR;
-            case "PAST" -> Result.NOT_SENT;
-            default -> throw new ProtocolException("an unknown word in an answer");
-        };
-    }
-
-    private static long micros(String millis) throws ProtocolException {
-        try {
-            return millis == null ? 0 : (long) (Double.parseDouble(millis) * 1000);
-        } catch (NumberFormatException e) {
-            throw new ProtocolException("not a time in an answer");
-        }
-    }
-
     @Override
     public void ended() {
         connection.close();
@@ -343,8 +333,9 @@
         Result unsent = connected || cause != null && !(cause instanceof ConnectException) ? Result.NOT_SENT
                 : Result.UNCONNECTED;
         while (!open.isEmpty()) {
-            Exchange exchange = open.remove(open.keySet().iterator().next());
-            exchange.end(exchange.whole ? Result.BROKEN : unsent, Note.NONE, 0, null);
+            CacheExchange exchange = open.remove(open.keySet().iterator().next());
+            pool.cancel(exchange.beginBy);
+            exchange.end(exchange.isWhole() ? Result.BROKEN : unsent, Note.NONE, 0, null);
         }
     }
 
--- a/src/main/java/clovermill/cache/CachePool.java
+++ b/src/main/java/clovermill/cache/CachePool.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.StringJoiner;
+import java.util.function.Predicate;
 
 /** The connections to all members, known by their ids, and the requests in the lines protocol. */
 public final class CachePool implements Upstream {
@@ -93,18 +94,34 @@
         Peer peer = peers.remove(member);
         if (peer != null) {
             for (CacheConnection connection : List.copyOf(peer.connections)) {
-                connection.withdraw(true, Set.of());
+                connection.withdraw(each -> true, Result.UNCONNECTED);
                 connection.retire();
             }
         }
     }
 
-    /** Withdraws all that is queued for these members, or to be filled from them, before any of it is sent. */
+    /**
+     * Withdraws all that is queued for these members, or to be filled from them, before any of it is sent. What is to
+     * be filled from them speaks against nobody.
+     */
     public void withdraw(Set<String> members) {
         for (Map.Entry<String, Peer> peer : List.copyOf(peers.entrySet())) {
-            for (CacheConnection connection : List.copyOf(peer.getValue().connections)) {
-                connection.withdraw(members.contains(peer.getKey()), members);
-            }
+            boolean itself = members.contains(peer.getKey());
+            withdraw(peer.getValue(), each -> itself || members.contains(each.source),
+                    itself ? Result.UNCONNECTED : Result.NOT_SENT);
+        }
+    }
+
+    /** Withdraws what is queued for these objects: it would take a copy from before their purge. */
+    public void withdraw(Predicate<Ask> purged) {
+        for (Peer peer : List.copyOf(peers.values())) {
+            withdraw(peer, each -> each.ask != null && purged.test(each.ask), Result.NOT_SENT);
+        }
+    }
+
+    private static void withdraw(Peer peer, Predicate<CacheExchange> which, Result result) {
+        for (CacheConnection connection : List.copyOf(peer.connections)) {
+            connection.withdraw(which, result);
         }
     }
 
@@ -112,7 +129,7 @@
     public Exchange send(Order order, Ending ending) {
         Ask ask = order.ask();
         String head = "want " + ask.id() + " " + fields(order) + " " + ask.body().length + "\r\n";
-        return send(order.member(), ask.id(), order.source(), ask.body().length == 0
+        return send(order.member(), ask.id(), ask, order.source(), ask.body().length == 0
                 ? List.of(text(head + "\r\n"))
                 : List.of(text(head), ByteBuffer.wrap(ask.body()), text("\r\n")), ending);
     }
@@ -122,7 +139,7 @@
         String tag = "p" + probes++;
         Deadline[] timeout = new Deadline[1];
         List<ByteBuffer> line = List.of(text("there " + tag + "\r\n"));
-        Exchange exchange = send(member, tag, null, line, (result, note, waited, answer) -> {
+        Exchange exchange = send(member, tag, null, null, line, (result, note, waited, answer) -> {
             deadlines.cancel(timeout[0]);
             if (answer != null) {
                 answer.body().close();
@@ -145,7 +162,8 @@
         }
     }
 
-    private Exchange send(String member, String id, String source, List<ByteBuffer> request, Ending ending) {
+    private Exchange send(String member, String id, Ask ask, String source, List<ByteBuffer> request,
+            Ending ending) {
         Peer peer = peers.get(member);
         CacheConnection connection;
         try {
@@ -159,7 +177,7 @@
             ending.ended(Result.NOT_SENT, Note.NONE, 0, null);
             return NONE;
         }
-        return connection.send(id, source, request, ending);
+        return connection.send(id, ask, source, request, ending);
     }
 
     /**
--- a/src/main/java/clovermill/channel/Roster.java
+++ b/src/main/java/clovermill/channel/Roster.java
@@ -191,8 +191,11 @@
                 known.weight(), startedUs);
     }
 
+    /** What is queued for the object would take an older copy: the module, which knows by then, sends it anew. */
     private void purge(Commands.Drop drop) {
         host.tell(new Purge(drop.object(), drop.group(),
                 Math.max(0, clock.unixMillis() - drop.whenMs()) * 1000));
+        pool.withdraw(ask -> drop.object() == null ? ask.group() == drop.group()
+                : Long.parseUnsignedLong(ask.object(), 16) == drop.object());
     }
 }
--- a/src/main/java/clovermill/front/FrameConnection.java
+++ b/src/main/java/clovermill/front/FrameConnection.java
@@ -1,127 +1,48 @@
 package clovermill.front;
 
-import clovermill.host.Answer;
-import clovermill.host.Ask;
-import clovermill.host.Asker;
-import clovermill.host.Host;
-import clovermill.host.Usage;
-import clovermill.net.Budget;
-import clovermill.net.Clock;
 import clovermill.net.Connection;
-import clovermill.net.Deadlines;
 import clovermill.net.ProtocolException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.List;
+import java.nio.ByteOrder;
 import java.util.Map;
-import java.util.TreeMap;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 /** One client connection; it owns its open streams and answers each of them once. */
 final class FrameConnection implements Connection.Handler {
 
-    /** What all connections of the front share. */
-    record Shared(Host host, RequestReader reader, Budget budget, Clock clock, Deadlines deadlines,
-            LongSupplier awayMs, BooleanSupplier ready, BooleanSupplier turningAway, IdleConnections idle,
-            Consumer<FrameConnection> closed) { }
-
-    private static final int MOST_OPEN = 32;
-    /** Nothing more is read from a client that lets so much of its answers lie. */
+    /** Nothing more is worked on for a client that lets so much of its answers lie. */
     private static final long MOST_UNREAD = 1 << 20;
-    /** A client that takes none of its answers for so long is gone, and must not keep their memory. */
-    private static final long STALL_US = 10_000_000;
-    /**
-     * So many answers that turn away, and requests that are withdrawn, are worked on in one span; for more
-     * the client waits. Guards the others against storms of repeats and of cancels.
-     */
-    private static final int MOST_IN_VAIN = 100;
-    private static final long SPAN_US = 1_000_000;
     /** A client that has just connected is about to ask. */
     private static final long ABOUT_TO_ASK_US = 100_000;
-    /** From this side's end to the close: what crosses the end comes within 50 ms, and unread it would be a reset. */
-    private static final long CROSSING_US = 100_000;
-    /** Where another director is to take the request, it may do so at once. */
-    private static final long AT_ONCE_MS = 1;
-
     private final Connection connection;
-    private final Shared shared;
+    private final FrontParts shared;
     private final FrameParser parser;
-    private final StreamNumbers used = new StreamNumbers();
-    private final Map<Long, Stream> open = new HashMap<>();
-    private Deadlines.Deadline stall;
-    private Deadlines.Deadline frameBy;
-    private Deadlines.Deadline calm;
-    private Deadlines.Deadline crossing;
+    private final FrameBound bound;
+    private final HeldFrames held;
+    private final VainGuard vain;
+    private final RoomWait room;
+    private final StallGuard stall;
+    private final Linger linger;
+    private final ClientStreams streams;
     private final long sinceUs;
-    private long spanUs;
-    private int inVain;
-    private long writtenBefore;
     private boolean spoken;
     private boolean leaveAfterNext;
     private boolean closing;
+    private boolean ended;
 
-    FrameConnection(Connection connection, Shared shared) {
+    FrameConnection(Connection connection, FrontParts shared) {
         this.connection = connection;
         this.shared = shared;
-        this.parser = new FrameParser(shared.budget, this::frame);
-        this.sinceUs = shared.clock.micros();
-    }
-
-    /** A request that is open; it writes the answer. */
-    private final class Stream implements Asker {
-        final long number;
-        final String id;
-        final int bodyBytes;
-
-        Stream(long number, String id, int bodyBytes) {
-            this.number = number;
-            this.id = id;
-            this.bodyBytes = bodyBytes;
-        }
-
-        @Override
-        public void served(Answer answer) {
-            end();
-            Map<String, String> fields = new TreeMap<>();
-            if (answer.notModified()) {
-                fields.put("notmod", "1");
-            }
-            if (answer.tag() != null) {
-                fields.put("etag", answer.tag());
-            }
-            byte[] body = answer.notModified() ? new byte[0] : answer.body().bytes();
-            connection.send(Frames.answer(Frames.ANSWER, number, Frames.SERVED, fields, body.length));
-            ByteBuffer bytes = ByteBuffer.wrap(body);
-            connection.send(bytes, () -> {
-                answer.body().close();
-                if (answer.receipt() != null) {
-                    answer.receipt().written(bytes.position(), connection.isOpen());
-                }
-            });
-            answered();
-        }
-
-        @Override
-        public void refused(long afterMs) {
-            end();
-            refuse(number, afterMs);
-        }
-
-        @Override
-        public void failed() {
-            end();
-            fail(number);
-        }
-
-        /** The one place where a stream ends and its request's bytes are given back. */
-        void end() {
-            if (open.remove(number, this)) {
-                shared.budget.give(bodyBytes);
-            }
-        }
+        this.parser = new FrameParser(shared.budget(), this::frame);
+        this.bound = new FrameBound(connection, shared.clock(), shared.deadlines(), parser, this::reject);
+        this.streams = new ClientStreams(this, shared);
+        this.held = new HeldFrames(shared.budget());
+        this.vain = new VainGuard(shared.clock(), shared.deadlines(), this::workOn);
+        this.room = new RoomWait(shared.budget(), shared.clock(), shared.deadlines(), streams::bar, this::workOn);
+        this.stall = new StallGuard(connection, shared.clock(), shared.deadlines());
+        this.linger = new Linger(connection, shared.clock(), shared.deadlines());
+        this.sinceUs = shared.clock().micros();
     }
 
     /** Tells the client to send nothing new here. */
@@ -135,7 +56,7 @@
     }
 
     private boolean quiet() {
-        return open.isEmpty() && connection.queuedBytes() == 0;
+        return streams.isEmpty() && held.isEmpty() && connection.queuedBytes() == 0;
     }
 
     /**
@@ -143,18 +64,18 @@
      * called from {@link #received}.
      */
     void endIfIdle() {
+        workOn();
         if (idleNow()) {
             connection.readNow();
             if (connection.isOpen() && idleNow()) {
-                connection.endOutput();
-                crossing = shared.deadlines.add(shared.clock.micros() + CROSSING_US, connection::close);
+                linger.begin();
             }
         }
     }
 
     private boolean idleNow() {
-        return crossing == null && !closing && quiet() && !parser.midFrame() && !connection.isPaused()
-                && (spoken || shared.clock.micros() >= sinceUs + ABOUT_TO_ASK_US);
+        return !linger.begun() && !closing && quiet() && !parser.midFrame() && !connection.isPaused()
+                && (spoken || shared.clock().micros() >= sinceUs + ABOUT_TO_ASK_US);
     }
 
     /** Closes whatever is open. */
@@ -164,17 +85,17 @@
 
     @Override
     public void received(ByteBuffer data) {
-        if (crossing != null) {
-            data.position(data.limit()); // sent before this side's end was seen: it is sent again elsewhere
+        if (linger.begun()) {
+            linger.drop(data);
             return;
         }
         try {
             parser.parse(data);
             if (parser.waitsForRoom()) {
                 connection.pause();
-                shared.budget.await(this::readOn);
+                room.begin();
             }
-            boundFrame();
+            bound.look();
             rest();
         } catch (ProtocolException malformed) {
             data.position(data.limit());
@@ -187,205 +108,184 @@
         fail(0);
         closing = true;
         connection.pause();
+        streams.bar();
         closeIfDone();
     }
 
-    /** Guards against frames that never end, and those that come bit by bit: each has a time to be whole. */
-    private void boundFrame() {
-        shared.deadlines.cancel(parser.midFrame() ? null : frameBy);
-        if (!parser.midFrame()) {
-            frameBy = null;
-        } else if (frameBy == null) {
-            frameBy = shared.deadlines.add(shared.clock.micros() + IdleConnections.SILENT_US, () -> {
-                frameBy = null;
-                if (parser.waitsForRoom() || calm != null) {
-                    boundFrame(); // it is this side that does not read
-                } else {
-                    reject();
-                }
-            });
-        }
-    }
-
     /** Notes that nothing is owed here, or that something is. */
     private void rest() {
         if (!connection.isOpen() || !spoken) {
             return;
         }
         if (quiet() && !parser.midFrame()) {
-            shared.idle.rests(this, shared.clock.micros());
+            shared.idle().rests(this, shared.clock().micros());
         } else {
-            shared.idle.busy(this);
+            shared.idle().busy(this);
         }
     }
 
-    /** Ends a connection on which nothing is owed; one that is in the middle of a frame is told. */
-    void letGo() {
+    /**
+     * Ends a connection on which nothing is owed, after a last look at what has come; one that is in the middle of a
+     * frame is told. False if something has come. Not to be called from {@link #received}.
+     */
+    boolean letGo() {
+        connection.readNow();
+        if (connection.isOpen() && (!quiet() || spoken && parser.midFrame())) {
+            return false;
+        }
         if (parser.midFrame()) {
-            reject();
+            fail(0);
+            connection.closeWhenFlushed();
         } else {
             connection.close();
         }
+        return true;
     }
 
-    /** Counts what came to nothing; from a client that brings too much of it nothing is read for a while. */
-    private void inVain() {
-        long nowUs = shared.clock.micros();
-        if (nowUs - spanUs >= SPAN_US) {
-            spanUs = nowUs;
-            inVain = 0;
-        }
-        if (++inVain > MOST_IN_VAIN && calm == null && connection.isOpen() && !shared.turningAway.getAsBoolean()) {
-            connection.pause();
-            calm = shared.deadlines.add(spanUs + SPAN_US, () -> {
-                calm = null;
-                readOn();
-            });
-        }
+    private boolean heldBack() {
+        return vain.holds() && !shared.turningAway().getAsBoolean() || connection.queuedBytes() > MOST_UNREAD;
     }
 
+    /** False where no more is to be read for a while: its client could go unseen then. */
     private boolean frame(int type, long stream, ByteBuffer payload) throws ProtocolException {
         spoken = true;
+        boolean waits = heldBack() || !held.isEmpty();
+        if (waits) {
+            held.saw();
+        }
         switch (type) {
-            case Frames.REQUEST -> request(stream, payload);
-            case Frames.GIVE_UP -> {
-                Stream given = open.get(stream);
-                if (given != null) {
-                    given.end();
-                    shared.host.clientGone(given.id);
-                    inVain();
+            case Frames.GIVE_UP -> giveUp(stream); // whatever waits: its request must not go on
+            case Frames.REQUEST, Frames.READY_QUESTION -> {
+                if (!waits || !held.add(type, stream, payload)) {
+                    take(type, stream, payload);
                 }
             }
-            case Frames.READY_QUESTION -> connection.send(Frames.answer(Frames.READY_ANSWER, stream,
-                    shared.ready.getAsBoolean() ? Frames.SERVED : Frames.REFUSED, Map.of(), 0));
             default -> throw new ProtocolException("an unknown type of frame");
         }
-        if (connection.queuedBytes() > MOST_UNREAD) {
+        if (held.full()) {
             connection.pause();
-            return false;
+            streams.bar();
         }
-        return calm == null;
+        return !held.full();
     }
 
-    private void request(long stream, ByteBuffer payload) throws ProtocolException {
-        Map<String, String> fields = Frames.fields(payload);
-        if (stream == 0 || open.containsKey(stream)) {
-            fail(0);
-            return;
+    private void giveUp(long stream) throws ProtocolException {
+        if (streams.giveUp(stream)) {
+            vain.count();
+        } else if (held.withdraw(stream)) {
+            streams.spend(stream);
         }
-        if (!used.use(stream)) {
-            fail(stream);
-            return;
+    }
+
+    private void take(int type, long stream, ByteBuffer payload) throws ProtocolException {
+        if (type == Frames.REQUEST) {
+            streams.take(stream, payload);
+        } else {
+            connection.send(Frames.answer(Frames.READY_ANSWER, stream,
+                    shared.ready().getAsBoolean() ? Frames.SERVED : Frames.REFUSED, Map.of(), 0));
         }
-        int bodyBytes = payload.remaining();
-        boolean turnedAway = shared.turningAway.getAsBoolean();
-        if (turnedAway || open.size() >= MOST_OPEN || !shared.budget.take(bodyBytes)) {
-            refuse(stream, turnedAway ? AT_ONCE_MS : shared.awayMs.getAsLong());
-            notTaken(fields);
+    }
+
+    /** Takes up what was held, and reads on. */
+    private void workOn() {
+        if (closing || !connection.isOpen()) {
             return;
         }
-        byte[] body = new byte[bodyBytes];
-        payload.get(body);
         try {
-            Ask ask = shared.reader.read(fields, body);
-            Stream opened = new Stream(stream, ask.id(), bodyBytes);
-            open.put(stream, opened);
-            if (leaveAfterNext) {
-                leaveAfterNext = false;
-                leave();
+            while (!heldBack()) {
+                HeldFrames.Frame next = held.poll();
+                if (next == null) {
+                    break;
+                }
+                take(next.type(), next.stream(), ByteBuffer.wrap(next.payload()).order(ByteOrder.LITTLE_ENDIAN));
             }
-            shared.host.submit(ask, opened);
-        } catch (RequestReader.BadRequest bad) {
-            shared.budget.give(bodyBytes);
-            fail(stream);
+        } catch (ProtocolException malformed) {
+            reject();
+            return;
+        }
+        if (!held.full() && !room.waits()) {
+            connection.resume();
         }
     }
 
-    /** Lets whoever keeps count know of a request for which there was no place here. */
-    private void notTaken(Map<String, String> fields) {
-        if (shared.host.audited()) {
-            try {
-                shared.host.notTaken(shared.reader.read(fields, new byte[0]), Usage.End.REFUSED);
-            } catch (RequestReader.BadRequest bad) {
-                // what cannot be read belongs to nobody
-            }
+    /** A request has been taken here. */
+    void taken() {
+        if (leaveAfterNext) {
+            leaveAfterNext = false;
+            leave();
         }
     }
 
-    private void refuse(long stream, long afterMs) {
+    void end(ClientStream stream) {
+        streams.end(stream);
+    }
+
+    /** Writes an answer with bytes; {@code done} is told once whether all of it has been written. */
+    void answer(ByteBuffer head, ByteBuffer body, Consumer<Boolean> done) {
+        connection.send(head);
+        connection.send(body, () -> done.accept(connection.isOpen()));
+        answered();
+    }
+
+    void refuse(long stream, long afterMs) {
         Map<String, String> fields = afterMs > 0 ? Map.of("after", Long.toString(afterMs)) : Map.of();
         connection.send(Frames.answer(Frames.ANSWER, stream, Frames.REFUSED, fields, 0));
-        inVain();
+        vain.count();
         answered();
     }
 
-    private void fail(long stream) {
+    void fail(long stream) {
         connection.send(Frames.answer(Frames.ANSWER, stream, Frames.FAILED, Map.of(), 0));
-        inVain();
+        vain.count();
         answered();
     }
 
     private void answered() {
-        watch();
+        stall.watch();
         closeIfDone();
     }
 
-    /** Looks again after a while, if there are answers to be read, whether any have been. */
-    private void watch() {
-        if (stall == null && connection.isOpen() && connection.queuedBytes() > 0) {
-            writtenBefore = connection.writtenBytes();
-            stall = shared.deadlines.add(shared.clock.micros() + STALL_US, this::stalled);
-        }
-    }
-
-    private void stalled() {
-        stall = null;
-        // What counts is that nothing has moved: something may well be queued on a busy connection.
-        if (connection.queuedBytes() > 0 && connection.writtenBytes() == writtenBefore) {
-            connection.close();
-        } else {
-            watch();
-        }
-    }
-
-    private void readOn() {
-        if (!closing && calm == null) {
-            connection.resume();
-        }
-    }
-
     @Override
     public void flushed() {
-        if (!parser.waitsForRoom()) {
-            readOn();
-        }
+        workOn();
         rest();
+        closeIfDone();
     }
 
-    /** The client sends no more but may still read: what it asked for is answered first. */
+    /** The client sends no more: it may have gone, or only read on. What waits here gets its final answer. */
     @Override
     public void ended() {
+        ended = true;
         closing = true;
+        streams.bar();
+        for (HeldFrames.Frame next = held.poll(); next != null; next = held.poll()) {
+            if (next.type() == Frames.REQUEST) {
+                refuse(next.stream(), shared.awayMs().getAsLong());
+            }
+        }
         closeIfDone();
     }
 
     private void closeIfDone() {
-        if (closing && open.isEmpty()) {
-            connection.closeWhenFlushed();
+        if (closing && streams.isEmpty()) {
+            if (ended) {
+                connection.closeWhenFlushed();
+            } else if (connection.queuedBytes() == 0) {
+                linger.begin();
+            }
         }
     }
 
     @Override
     public void closed(IOException cause) {
-        shared.deadlines.cancel(stall);
-        shared.deadlines.cancel(frameBy);
-        shared.deadlines.cancel(calm);
-        shared.deadlines.cancel(crossing);
+        stall.close();
+        linger.close();
+        bound.close();
+        vain.close();
+        room.close();
         parser.close();
-        for (Stream stream : List.copyOf(open.values())) {
-            stream.end();
-            shared.host.clientGone(stream.id);
-        }
-        shared.closed.accept(this);
+        held.close();
+        streams.close();
+        shared.closed().accept(this);
     }
 }
--- a/src/main/java/clovermill/front/FrameFront.java
+++ b/src/main/java/clovermill/front/FrameFront.java
@@ -37,7 +37,7 @@
     private final Deadlines deadlines;
     private final Terms terms;
     private final RequestReader reader;
-    private final FrameConnection.Shared shared;
+    private final FrontParts shared;
     private final Set<FrameConnection> connections = new LinkedHashSet<>();
     private final IdleConnections idle = new IdleConnections();
     private EventLoop.Listener listener;
@@ -54,7 +54,7 @@
         this.terms = terms;
         this.most = terms.connections();
         this.reader = new RequestReader(MARGIN_US);
-        this.shared = new FrameConnection.Shared(host, reader, budget, clock, deadlines, () -> awayMs, this::ready,
+        this.shared = new FrontParts(host, reader, budget, clock, deadlines, () -> awayMs, this::ready,
                 () -> turningAway, idle, this::forget);
         retune(classNames, settings);
     }
--- /dev/null
+++ b/src/main/java/clovermill/front/FrontParts.java
@@ -0,0 +1,14 @@
+package clovermill.front;
+
+import clovermill.host.Host;
+import clovermill.net.Budget;
+import clovermill.net.Clock;
+import clovermill.net.Deadlines;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** What all connections of the front share; {@code awayMs} is for how long a client that is turned away keeps away. */
+record FrontParts(Host host, RequestReader reader, Budget budget, Clock clock, Deadlines deadlines,
+        LongSupplier awayMs, BooleanSupplier ready, BooleanSupplier turningAway, IdleConnections idle,
+        Consumer<FrameConnection> closed) { }
--- a/src/main/java/clovermill/front/IdleConnections.java
+++ b/src/main/java/clovermill/front/IdleConnections.java
@@ -1,6 +1,5 @@
 package clovermill.front;
 
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -55,17 +54,19 @@
         }
     }
 
+    /** Lets the eldest go of those that rest since then or longer; one on which something has come is passed over. */
     private static boolean letGo(Map<FrameConnection, Long> from, long sinceUs) {
-        Iterator<Map.Entry<FrameConnection, Long>> eldest = from.entrySet().iterator();
-        if (!eldest.hasNext()) {
-            return false;
+        for (int left = from.size(); left > 0; left--) {
+            Map.Entry<FrameConnection, Long> eldest = from.entrySet().iterator().next();
+            FrameConnection connection = eldest.getKey();
+            if (eldest.getValue() > sinceUs) {
+                return false;
+            }
+            from.remove(connection);
+            if (connection.letGo()) {
+                return true;
+            }
         }
-        Map.Entry<FrameConnection, Long> entry = eldest.next();
-        if (entry.getValue() > sinceUs) {
-            return false;
-        }
-        eldest.remove();
-        entry.getKey().letGo();
-        return true;
+        return false;
     }
 }
--- /dev/null
+++ b/src/main/java/clovermill/front/Linger.java
@@ -0,0 +1,55 @@
+package clovermill.front;
+
+import clovermill.net.Clock;
+import clovermill.net.Connection;
+import clovermill.net.Deadlines;
+import java.nio.ByteBuffer;
+
+/**
+ * The last moment of a connection: this side has ended, and what still comes is read and dropped. A close over unread
+ * bytes would be a reset, which takes answers with it that are still on their way.
+ */
+final class Linger {
+
+    /** From this side's end to the close: what crosses the end comes within 50 ms. */
+    private static final long CROSSING_US = 100_000;
+    /** A client that goes on sending is not read for ever. */
+    private static final int MOST_DROPPED = 1 << 18;
+
+    private final Connection connection;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private Deadlines.Deadline close;
+    private int dropped;
+
+    Linger(Connection connection, Clock clock, Deadlines deadlines) {
+        this.connection = connection;
+        this.clock = clock;
+        this.deadlines = deadlines;
+    }
+
+    boolean begun() {
+        return close != null;
+    }
+
+    void begin() {
+        if (close == null && connection.isOpen()) {
+            close = deadlines.add(clock.micros() + CROSSING_US, connection::close);
+            connection.endOutput();
+            connection.resume();
+        }
+    }
+
+    /** Sent before this side's end was seen: it is sent again elsewhere. */
+    void drop(ByteBuffer data) {
+        dropped += data.remaining();
+        data.position(data.limit());
+        if (dropped > MOST_DROPPED) {
+            connection.close();
+        }
+    }
+
+    void close() {
+        deadlines.cancel(close);
+    }
+}
--- /dev/null
+++ b/src/main/java/clovermill/host/Attempt.java
@@ -0,0 +1,111 @@
+package clovermill.host;
+
+import clovermill.CacheRouter.LoadReport;
+import clovermill.CacheRouter.Note;
+import clovermill.CacheRouter.Outcome;
+import clovermill.CacheRouter.Result;
+import clovermill.net.Deadlines;
+
+/** One attempt; it ends once, by its answer, its time-out or its being called off. */
+final class Attempt implements Upstream.Ending {
+
+    /** What nobody waits for must not go on going out for longer: it counts as begun when all of it has arrived. */
+    private static final long GOES_ON_US = 50_000;
+
+    final Call call;
+    final int number;
+    final String member;
+    final long sentUs;
+    /** From where a miss is filled; null where it is not. */
+    String source;
+    /** Null until it is sent. */
+    Upstream.Exchange exchange;
+    Deadlines.Deadline timeout;
+    private final Host host;
+    /** How long after the first a further attempt may be sent, or {@link Long#MAX_VALUE} where nothing binds it. */
+    private final long windowUs;
+    private boolean ended;
+    private LoadReport load;
+
+    Attempt(Host host, Call call, String member, long windowUs) {
+        this.host = host;
+        this.call = call;
+        this.number = call.sent++;
+        this.member = member;
+        this.windowUs = windowUs;
+        this.sentUs = host.clock.micros();
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    /** Whether any of it may have left. */
+    boolean begun() {
+        return exchange != null && exchange.begun();
+    }
+
+    @Override
+    public boolean mayBegin() {
+        return call.unwantedForUs() < 0 && allowed();
+    }
+
+    @Override
+    public boolean mayGoOn() {
+        return call.unwantedForUs() < GOES_ON_US && allowed();
+    }
+
+    /** Whether the policy of the fleet allows it, and the window for repeats, at this moment. */
+    private boolean allowed() {
+        if (call.allowed != null && !(call.allowed.test(member) && (source == null || call.allowed.test(source)))) {
+            return false;
+        }
+        long ranUs = windowUs == Long.MAX_VALUE ? Long.MAX_VALUE : call.ranBeforeUs(this);
+        return ranUs >= sentUs || host.clock.micros() - ranUs < windowUs;
+    }
+
+    @Override
+    public void reported(LoadReport report) {
+        load = report;
+    }
+
+    @Override
+    public void ended(Result told, Note note, long waitedUs, Answer answer) {
+        // A member that finds the client's copy good where the client holds none has served nothing.
+        boolean empty = answer != null && answer.notModified() && call.ask.have() == null;
+        Result result = empty ? Result.ERROR : told;
+        boolean serves = result == Result.OK && !ended && !call.over();
+        if (answer != null && !serves) {
+            answer.body().close();
+        }
+        if (ended) {
+            return;
+        }
+        ended = true;
+        host.deadlines.cancel(timeout);
+        call.out.remove(number);
+        if (!result.neverRan()) {
+            call.mayHaveRun(sentUs);
+        }
+        if (serves) {
+            call.serve(answer, this, note);
+        } else if (call.left() && call.out.isEmpty()) {
+            call.endUnserved();
+        }
+        call.forget();
+        host.deliver(new Outcome(call.ask.id(), number, member, result, host.clock.micros() - sentUs, call.over(),
+                note, waitedUs, load));
+    }
+
+    /**
+     * Ends it from this side: what was never sent in all its time counts as not connected. What was only
+     * withdrawn before its turn to be written came proves that too, but speaks against nobody: clients
+     * that withdraw hundreds at once must not make all members look dead.
+     */
+    void giveUp(Result result) {
+        boolean heldHere = exchange.heldHere();
+        boolean mayHaveRun = exchange.giveUp();
+        Result unsent = result == Result.TIMED_OUT && !heldHere ? Result.UNCONNECTED : Result.NOT_SENT;
+        ended(mayHaveRun ? result : unsent, Note.NONE, 0, null);
+    }
+}
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -23,15 +23,18 @@
     private static final System.Logger LOG = System.getLogger(Host.class.getName());
 
     private static final Predicate<String> ANY = member -> true;
+    /** As the module asks of those whom it refuses. */
+    private static final long AWAY_US = 100_000;
 
     private final CacheRouter router;
     private CacheRouter.Permissions allowed;
+    private List<CacheRouter.RequestClass> classes;
     private long slackUs;
-    private final Clock clock;
-    private final Deadlines deadlines;
+    final Clock clock;
+    final Deadlines deadlines;
     private final Upstream upstream;
     /** Null where nobody keeps count. */
-    private final Audit audit;
+    final Audit audit;
     /** Null where nothing binds requests. */
     private final Bounds bounds;
     private final Map<String, Call> calls = new HashMap<>();
@@ -50,6 +53,7 @@
         this.bounds = bounds;
         this.router = router;
         this.allowed = settings.allowed();
+        this.classes = settings.classes();
         this.slackUs = settings.answerSlackUs();
         this.clock = clock;
         this.deadlines = deadlines;
@@ -57,149 +61,6 @@
         this.audit = audit;
     }
 
-    /** A request from its arrival until it has its answer and all its attempts have ended. */
-    private final class Call {
-        final Ask ask;
-        final long takenUs = clock.micros();
-        final long deadlineUs;
-        final Map<Integer, Attempt> out = new HashMap<>(2);
-        /** Null where nothing binds it. */
-        final Predicate<String> allowed;
-        /** Guards the rule of one answer in time against a module that says nothing. */
-        final Deadlines.Deadline overdue;
-        private Asker asker;
-        int sent;
-
-        Call(Ask ask, Asker asker) {
-            this.ask = ask;
-            this.asker = asker;
-            this.allowed = bounds == null ? null : bounds.bind(ask);
-            this.deadlineUs = takenUs + ask.waitUs();
-            this.overdue = deadlines.add(deadlineUs + slackUs / 2, this::overdue);
-        }
-
-        boolean over() {
-            return asker == null;
-        }
-
-        /** The one place where a request ends; the first to end it gets the asker to answer. */
-        Asker end() {
-            Asker answered = asker;
-            asker = null;
-            deadlines.cancel(overdue);
-            forget();
-            return answered;
-        }
-
-        /** The id is free again when no attempt can speak of it any more. */
-        void forget() {
-            if (over() && out.isEmpty()) {
-                calls.remove(ask.id(), this);
-            }
-        }
-
-        void refuse(long afterMs) {
-            end().refused(afterMs);
-            audited(Usage.End.REFUSED);
-        }
-
-        void fail() {
-            end().failed();
-            audited(Usage.End.FAILED);
-        }
-
-        /** Tells the audit of an end without bytes. */
-        void audited(Usage.End how) {
-            if (audit != null) {
-                audit.ended(new Usage(ask, true, takenUs, clock.micros(), how, sent, null, null, null, 0, 0));
-            }
-        }
-
-        /** Hands over the answer of an attempt; the audit is told when it has been written, or never will be. */
-        void serve(Answer answer, Attempt by, Note note) {
-            if (audit == null) {
-                end().served(answer);
-                return;
-            }
-            int attempts = sent;
-            int size = answer.notModified() ? 0 : answer.body().bytes().length;
-            end().served(answer.with((bytes, whole) -> audit.ended(new Usage(ask, true, takenUs, clock.micros(),
-                    !whole ? Usage.End.BROKEN_OFF : answer.notModified() ? Usage.End.NOT_MODIFIED : Usage.End.SERVED,
-                    attempts, by.member, by.source, note, bytes, size))));
-        }
-
-        private void overdue() {
-            LOG.log(Level.WARNING, "request {0} was overdue", ask.id());
-            fail();
-            deliver(new CacheRouter.ClientGone(ask.id()));
-        }
-    }
-
-    /** One attempt; it ends once, by its answer, its time-out or its being called off. */
-    private final class Attempt implements Upstream.Ending {
-        final Call call;
-        final int number;
-        final String member;
-        /** From where a miss is filled; null where it is not. */
-        String source;
-        final long sentUs = clock.micros();
-        Deadlines.Deadline timeout;
-        Upstream.Exchange exchange;
-        boolean ended;
-        private CacheRouter.LoadReport load;
-
-        Attempt(Call call, int number, String member) {
-            this.call = call;
-            this.number = number;
-            this.member = member;
-        }
-
-        @Override
-        public boolean may() {
-            return call.allowed == null || call.allowed.test(member) && (source == null || call.allowed.test(source));
-        }
-
-        @Override
-        public void reported(CacheRouter.LoadReport report) {
-            load = report;
-        }
-
-        @Override
-        public void ended(Result told, Note note, long waitedUs, Answer answer) {
-            // A member that finds the client's copy good where the client holds none has served nothing.
-            boolean empty = answer != null && answer.notModified() && call.ask.have() == null;
-            Result result = empty ? Result.ERROR : told;
-            boolean serves = result == Result.OK && !ended && !call.over();
-            if (answer != null && !serves) {
-                answer.body().close();
-            }
-            if (ended) {
-                return;
-            }
-            ended = true;
-            deadlines.cancel(timeout);
-            call.out.remove(number);
-            if (serves) {
-                call.serve(answer, this, note);
-            }
-            call.forget();
-            deliver(new CacheRouter.Outcome(call.ask.id(), number, member, result, clock.micros() - sentUs,
-                    call.over(), note, waitedUs, load));
-        }
-
-        /**
-         * Ends it from this side: what was never sent in all its time counts as not connected. What was only
-         * withdrawn before its turn to be written came proves that too, but speaks against nobody: clients
-         * that withdraw hundreds at once must not make all members look dead.
-         */
-        void giveUp(Result result) {
-            boolean heldHere = exchange.heldHere();
-            boolean mayHaveRun = exchange.giveUp();
-            Result unsent = result == Result.TIMED_OUT && !heldHere ? Result.UNCONNECTED : Result.NOT_SENT;
-            ended(mayHaveRun ? result : unsent, Note.NONE, 0, null);
-        }
-    }
-
     /** Takes a request; {@code asker} gets its one answer, maybe before this returns. */
     public void submit(Ask ask, Asker asker) {
         if (calls.size() >= allowed.maxOpen()) {
@@ -218,7 +79,7 @@
             notTaken(ask, Usage.End.REFUSED);
             return;
         }
-        Call call = new Call(ask, asker);
+        Call call = new Call(this, ask, asker, bounds == null ? null : bounds.bind(ask));
         calls.put(ask.id(), call);
         deliver(new CacheRouter.Request(ask.id(), ask.requestClass(), 0,
                 Long.parseUnsignedLong(ask.object(), 16), ask.part(), ask.group(), ask.sizeKb(),
@@ -248,6 +109,27 @@
         }
     }
 
+    /**
+     * The client sends no more: it may have gone, or only read on. Nothing new begins for its request. What is out may
+     * still be answered; where nothing is, the final answer is given now.
+     */
+    public void clientLeft(String id) {
+        Call call = calls.get(id);
+        if (call == null || call.over() || call.left()) {
+            return;
+        }
+        call.leave();
+        deliver(new CacheRouter.ClientGone(id));
+        for (Attempt attempt : List.copyOf(call.out.values())) {
+            if (!attempt.begun()) {
+                attempt.giveUp(Result.CANCELLED); // a module may not call off everywhere
+            }
+        }
+        if (call.left() && call.out.isEmpty()) {
+            call.endUnserved();
+        }
+    }
+
     /** Passes on news that come from no request: of the members, of purges. */
     public void tell(Event event) {
         if (audit != null && event instanceof CacheRouter.Members news) {
@@ -259,6 +141,7 @@
     /** Puts other settings in force, for requests that come from now on. */
     public void retune(CacheRouter.Settings settings) {
         allowed = settings.allowed();
+        classes = settings.classes();
         slackUs = settings.answerSlackUs();
         deliver(new CacheRouter.Retuned(settings));
     }
@@ -281,7 +164,7 @@
      * Gives events to the module one after another: an action that ends something at once leads to a new
      * event after the present one, not inside it.
      */
-    private void deliver(Event event) {
+    void deliver(Event event) {
         events.add(event);
         if (delivering) {
             return;
@@ -317,7 +200,7 @@
         } else if (action instanceof CacheRouter.Cancel a) {
             Call call = calls.get(a.request());
             Attempt attempt = call == null ? null : call.out.get(a.attempt());
-            if (attempt != null) {
+            if (attempt != null && !(call.left() && attempt.begun())) {
                 attempt.giveUp(Result.CANCELLED);
             }
         } else if (action instanceof CacheRouter.Refuse a) {
@@ -355,10 +238,10 @@
             LOG.log(Level.ERROR, "the module named the unknown request {0}", request);
             return;
         }
-        Attempt attempt = new Attempt(call, call.sent++, member);
+        Attempt attempt = new Attempt(this, call, member, windowUs(call.ask));
         long left = call.deadlineUs - attempt.sentUs;
         call.out.put(attempt.number, attempt);
-        if (call.over() || attempt.number >= allowed.maxAttempts() || left <= 0) {
+        if (call.unwantedForUs() >= 0 || attempt.number >= allowed.maxAttempts() || left <= 0) {
             attempt.ended(Result.NOT_SENT, Note.NONE, 0, null);
             return;
         }
@@ -366,8 +249,33 @@
         Upstream.Order order = ordering.order(call, cut);
         attempt.source = order.source();
         attempt.exchange = upstream.send(order, attempt);
-        if (!attempt.ended) {
+        if (!attempt.ended()) {
             attempt.timeout = deadlines.add(attempt.sentUs + cut, () -> attempt.giveUp(Result.TIMED_OUT));
         }
     }
+
+    /** How long after an attempt that may have run another may be sent. */
+    private long windowUs(Ask ask) {
+        CacheRouter.RequestClass kind = ask.requestClass() < classes.size() ? classes.get(ask.requestClass()) : null;
+        return kind == null || kind.effect() != CacheRouter.Effect.DEDUPLICATED ? Long.MAX_VALUE : kind.windowUs();
+    }
+
+    long slackUs() {
+        return slackUs;
+    }
+
+    /** For how long a client that is refused is asked to keep away, in milliseconds. */
+    long awayMs() {
+        return Math.min(AWAY_US, allowed.maxRetryAfterUs()) / 1000;
+    }
+
+    void forget(Call call) {
+        calls.remove(call.ask.id(), call);
+    }
+
+    void overdue(Call call) {
+        LOG.log(Level.WARNING, "request {0} was overdue", call.ask.id());
+        call.fail();
+        deliver(new CacheRouter.ClientGone(call.ask.id()));
+    }
 }
--- a/src/main/java/clovermill/host/Upstream.java
+++ b/src/main/java/clovermill/host/Upstream.java
@@ -17,10 +17,13 @@
     /** Told exactly once how an exchange ended, unless it was given up. */
     interface Ending {
 
-        /**
-         * Whether the attempt may begin, or go on, at this moment; asked each time its bytes are about to be written.
-         */
-        default boolean may() {
+        /** Whether the attempt may begin at this moment; asked when its first bytes are about to be written. */
+        default boolean mayBegin() {
+            return true;
+        }
+
+        /** Whether an attempt that has begun may go on; asked each time more of its bytes are about to be written. */
+        default boolean mayGoOn() {
             return true;
         }
 
@@ -40,6 +43,11 @@
          */
         boolean giveUp();
 
+        /** Whether any of it may have left this process. */
+        default boolean begun() {
+            return true;
+        }
+
         /** Whether it only waits for the end of this turn, which speaks against no member. */
         default boolean heldHere() {
             return false;
