Tests of what may still be written to a cache: stuck writes, purges, windows, answers twice or never ending

Real sockets, injected clock, no sleep; the stuck write is a body of 8 MB that the member does not read.

--- /dev/null
+++ b/src/test/java/clovermill/cache/CachePoolTest.java
@@ -0,0 +1,250 @@
+package clovermill.cache;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import clovermill.CacheRouter.Note;
+import clovermill.CacheRouter.Result;
+import clovermill.host.Answer;
+import clovermill.host.Ask;
+import clovermill.host.Upstream;
+import clovermill.net.Budget;
+import clovermill.net.Clock;
+import clovermill.net.Deadlines;
+import clovermill.net.EventLoop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What still goes out on a connection to a member whose write is stuck, or whose answers come twice or never end. */
+class CachePoolTest {
+
+    private static final long DIAL_US = 400_000;
+    /** More than the sockets of both sides hold while the member reads nothing. */
+    private static final int LARGE = 8 << 20;
+
+    private long nowUs = 1_000_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long micros() {
+            return nowUs;
+        }
+
+        @Override
+        public long unixMillis() {
+            return nowUs / 1000;
+        }
+    };
+    private final Deadlines deadlines = new Deadlines();
+    private final List<SocketChannel> accepted = new ArrayList<>();
+    private final StringBuilder read = new StringBuilder();
+    private int searched;
+    private EventLoop loop;
+    private CachePool pool;
+    private ServerSocketChannel member;
+
+    @BeforeEach
+    void open() throws IOException {
+        loop = new EventLoop(clock, deadlines);
+        pool = new CachePool(loop, clock, deadlines, new Budget(1 << 20),
+                new CachePool.Limits(31, 40, DIAL_US, 30_000_000));
+        member = ServerSocketChannel.open();
+        member.setOption(StandardSocketOptions.SO_RCVBUF, 1 << 16);
+        member.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        member.configureBlocking(false);
+        pool.listed("m", (InetSocketAddress) member.getLocalAddress(), 0);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        member.close();
+        for (SocketChannel each : accepted) {
+            each.close();
+        }
+    }
+
+    /** One attempt; it keeps how it ended. */
+    private static final class Attempt implements Upstream.Ending {
+        Upstream.Exchange exchange;
+        boolean mayBegin = true;
+        boolean mayGoOn = true;
+        Result result;
+
+        @Override
+        public boolean mayBegin() {
+            return mayBegin;
+        }
+
+        @Override
+        public boolean mayGoOn() {
+            return mayGoOn;
+        }
+
+        @Override
+        public void ended(Result told, Note note, long waitedUs, Answer answer) {
+            result = told;
+            if (answer != null) {
+                answer.body().close();
+            }
+        }
+    }
+
+    private Attempt send(String id, String object, String source, int bodyBytes) {
+        Attempt attempt = new Attempt();
+        Ask ask = new Ask(id, 0, "page", object, 0, 17, 1, 1_000_000, false, null, null, new byte[bodyBytes]);
+        attempt.exchange = pool.send(new Upstream.Order(ask, "m", 1_000_000, source, 0, 0, false, false, false, false),
+                attempt);
+        return attempt;
+    }
+
+    private void until(BooleanSupplier reached) throws IOException {
+        for (int i = 0; i < 5000 && !reached.getAsBoolean(); i++) {
+            turn();
+        }
+        assertThat(reached.getAsBoolean()).isTrue();
+    }
+
+    private void turn() throws IOException {
+        loop.turn(1);
+        for (SocketChannel each; (each = member.accept()) != null;) {
+            each.configureBlocking(false);
+            accepted.add(each);
+        }
+    }
+
+    /** Has the member read what comes, on its newest connection, until it has read that; or to the end. */
+    private boolean reads(String text) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(1 << 20);
+        SocketChannel newest = accepted.get(accepted.size() - 1);
+        for (int i = 0; i < 5000 && read.indexOf(text, searched) < 0; i++) {
+            turn();
+            for (int count; (count = newest.read(buffer.clear())) != 0;) {
+                if (count < 0) {
+                    return false;
+                }
+                searched = Math.max(0, read.length() - text.length());
+                read.append(StandardCharsets.ISO_8859_1.decode(buffer.flip()));
+                loop.turn(0);
+            }
+        }
+        return read.indexOf(text, searched) >= 0;
+    }
+
+    /** An attempt of which a part waits in vain to be written. */
+    private Attempt stuck() throws IOException {
+        Attempt first = send("00000000000000a1", "aa", "p", LARGE);
+        until(() -> !accepted.isEmpty() && first.exchange.begun());
+        for (int i = 0; i < 50; i++) {
+            turn();
+        }
+        return first;
+    }
+
+    @Test
+    void whatNobodyWaitsForAnyMoreDoesNotBeginWhenTheWriteGoesOn() throws IOException {
+        stuck();
+        Attempt queued = send("00000000000000a2", "bb", "p", 0);
+        Attempt behind = send("00000000000000a3", "bb", "p", 0);
+        queued.mayBegin = false;
+        assertThat(reads("want 00000000000000a3")).isTrue();
+        assertThat(queued.result).isEqualTo(Result.NOT_SENT);
+        assertThat(read.indexOf("want 00000000000000a2")).isNegative();
+        assertThat(behind.result).isNull();
+    }
+
+    @Test
+    void whatIsHalfWrittenAndMayNotGoOnNeverArrivesWhole() throws IOException {
+        Attempt half = stuck();
+        half.mayGoOn = false;
+        assertThat(reads("never")).isFalse();
+        assertThat(read.length()).isLessThan(LARGE);
+        assertThat(half.result).isEqualTo(Result.NOT_SENT);
+    }
+
+    @Test
+    void norDoesWhatWasGivenUpHalfWritten() throws IOException {
+        Attempt half = stuck();
+        assertThat(half.exchange.giveUp()).isTrue();
+        half.mayGoOn = false;
+        assertThat(reads("never_mind")).isFalse();
+        assertThat(read.length()).isLessThan(LARGE);
+    }
+
+    @Test
+    void aPurgeTakesBackWhatIsQueuedOrHalfWrittenForItsObject() throws IOException {
+        Attempt half = stuck();
+        Attempt same = send("00000000000000a2", "aa", "p", 0);
+        Attempt other = send("00000000000000a3", "bb", "p", 0);
+        pool.withdraw(ask -> ask.object().equals("aa"));
+        assertThat(same.result).isEqualTo(Result.NOT_SENT);
+        assertThat(other.result).isNull();
+        assertThat(reads("never")).isFalse();
+        assertThat(half.result).isEqualTo(Result.NOT_SENT);
+    }
+
+    /** The member is fit: only its source drains. */
+    @Test
+    void whatIsToBeFilledFromWhoDrainsSpeaksAgainstNobody() throws IOException {
+        Attempt half = stuck();
+        Attempt queued = send("00000000000000a2", "bb", "p", 0);
+        Attempt elsewhere = send("00000000000000a3", "bb", "q", 0);
+        pool.withdraw(Set.of("p"));
+        assertThat(queued.result).isEqualTo(Result.NOT_SENT);
+        assertThat(elsewhere.result).isNull();
+        assertThat(reads("never")).isFalse();
+        assertThat(half.result).isEqualTo(Result.NOT_SENT);
+    }
+
+    /** A second copy of an answer, some milliseconds late, must not end a further attempt of the same request. */
+    @Test
+    void aFurtherAttemptGoesOverAnotherConnectionThanTheFirst() throws IOException {
+        Attempt first = send("00000000000000a1", "aa", null, 0);
+        until(() -> !accepted.isEmpty() && first.exchange.begun());
+        answer(0, "00000000000000a1 LACK - 0\r\n\r\n");
+        until(() -> first.result == Result.MISS);
+        Attempt further = send("00000000000000a1", "aa", null, 0);
+        until(() -> accepted.size() == 2 && further.exchange.begun());
+        answer(0, "00000000000000a1 LACK - 0\r\n\r\n");
+        for (int i = 0; i < 50; i++) {
+            turn();
+        }
+        assertThat(further.result).isNull();
+        answer(1, "00000000000000a1 DONE made=5 5\r\nhello\r\n");
+        until(() -> further.result == Result.OK);
+    }
+
+    /** Bit by bit, so that it never stands still for long. */
+    @Test
+    void anAnswerThatNeverEndsHoldsUpTheOthersNoLongerThanADial() throws IOException {
+        Attempt endless = send("00000000000000a1", "aa", null, 0);
+        Attempt behind = send("00000000000000a2", "bb", null, 0);
+        until(() -> !accepted.isEmpty() && endless.exchange.begun() && behind.exchange.begun());
+        answer(0, "00000000000000a1 DONE made=5 9000\r\n");
+        for (int i = 0; i < 20; i++) {
+            answer(0, "x");
+            turn();
+        }
+        endless.exchange.giveUp();
+        for (int i = 0; i < 9 && behind.result == null; i++) {
+            nowUs += DIAL_US / 8;
+            answer(0, "x");
+            turn();
+        }
+        assertThat(behind.result).isEqualTo(Result.BROKEN);
+    }
+
+    private void answer(int connection, String text) throws IOException {
+        accepted.get(connection).write(ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
+    }
+}
--- a/src/test/java/clovermill/host/HostTest.java
+++ b/src/test/java/clovermill/host/HostTest.java
@@ -30,6 +30,12 @@
 class HostTest {
 
     private static final String ID = "00000000000000a1";
+    private static final long WINDOW_US = 20_000;
+    private static final CacheRouter.RequestClass SAFE = new CacheRouter.RequestClass(1000, 0, 100_000, 1, 0,
+            CacheRouter.Effect.IDEMPOTENT, CacheRouter.KeyScope.ALL, 0, false, false, false, 0, 0, 0);
+    private static final CacheRouter.RequestClass KEYED = new CacheRouter.RequestClass(1000, 0, 100_000, 1, 0,
+            CacheRouter.Effect.DEDUPLICATED, CacheRouter.KeyScope.ALL, WINDOW_US, false, false,
+            false, 0, 0, 0);
     private long nowUs = 1000;
     private final Deadlines deadlines = new Deadlines();
     private final Budget budget = new Budget(100);
@@ -47,7 +53,7 @@
             events.add(event);
             (replies.isEmpty() ? List.<Action>of() : replies.poll()).forEach(out);
         }
-    }, new CacheRouter.Settings(0, 1, 0, List.of(), List.of(), List.of(), -1, -1, 0, false, CacheRouter.Siblings.NONE,
+    }, new CacheRouter.Settings(0, 1, 0, List.of(SAFE, KEYED), List.of(), List.of(), -1, -1, 0, false, CacheRouter.Siblings.NONE,
             CacheRouter.Telling.ALL, null, null, 0, 4000, 0, 0, 0, false, 0, 0, 0, 0,
             new CacheRouter.Permissions(true, true, true, true, true, false, 2, 10, 500_000)),
             new Clock() {
@@ -68,7 +74,17 @@
                     if (atOnce != null) {
                         ending.ended(atOnce, Note.NONE, 0, null);
                     }
-                    return () -> mayHaveRun;
+                    return new Exchange() {
+                        @Override
+                        public boolean giveUp() {
+                            return mayHaveRun;
+                        }
+
+                        @Override
+                        public boolean begun() {
+                            return mayHaveRun;
+                        }
+                    };
                 }
 
                 @Override
@@ -81,8 +97,12 @@
             });
 
     private void submit(Action... reply) {
+        submit(0, reply);
+    }
+
+    private void submit(int requestClass, Action... reply) {
         replies.add(List.of(reply));
-        host.submit(new Ask(ID, 0, "page", "7f3a9c21e0b4d655", 0, 0, 1, 100_000, false, null, null, new byte[0]),
+        host.submit(new Ask(ID, requestClass, "page", "7f3a9c21e0b4d655", 0, 0, 1, 100_000, false, null, null, new byte[0]),
                 new Asker() {
                     @Override
                     public void served(Answer answer) {
@@ -223,4 +243,69 @@
         assertThat(answers).containsExactly("failed");
         assertThat(events).hasSize(1);
     }
+
+    /** A module may not call off everywhere; what waits for its connection must not go out all the same. */
+    @Test
+    void whatNobodyWaitsForMayNotBeginAndGoesOnForAMomentOnly() {
+        submit(new Send(ID, "a", 0));
+        assertThat(endings.get(0).mayBegin()).isTrue();
+        host.clientGone(ID);
+        assertThat(endings.get(0).mayBegin()).isFalse();
+        assertThat(endings.get(0).mayGoOn()).isTrue();
+        nowUs += 50_000;
+        assertThat(endings.get(0).mayGoOn()).isFalse();
+    }
+
+    /** A repeat may wait for its connection, or with a part of it written: its window counts from the first's start. */
+    @Test
+    void aRepeatMayNotGoOutPastItsWindow() {
+        submit(1, new Send(ID, "a", 0));
+        replies.add(List.of(new Send(ID, "b", 0)));
+        nowUs += 1000;
+        endings.get(0).ended(Result.BROKEN, Note.NONE, 0, null);
+        nowUs += WINDOW_US - 1001;
+        assertThat(endings.get(1).mayBegin()).isTrue();
+        assertThat(endings.get(1).mayGoOn()).isTrue();
+        nowUs += 1;
+        assertThat(endings.get(1).mayBegin()).isFalse();
+        assertThat(endings.get(1).mayGoOn()).isFalse();
+    }
+
+    @Test
+    void aRepeatOfWhatNeverRanHasNoWindow() {
+        submit(1, new Send(ID, "a", 0));
+        replies.add(List.of(new Send(ID, "b", 0)));
+        endings.get(0).ended(Result.REFUSED, Note.NONE, 0, null);
+        nowUs += WINDOW_US;
+        assertThat(endings.get(1).mayBegin()).isTrue();
+    }
+
+    @Test
+    void afterItsClientsEndARequestWithNothingOutIsAnsweredAtOnce() {
+        submit();
+        host.clientLeft(ID);
+        assertThat(answers).containsExactly("refused 100");
+        assertThat(events).last().isEqualTo(new ClientGone(ID));
+    }
+
+    @Test
+    void afterItsClientsEndWhatIsOutMayBeAnsweredAndNothingFollows() {
+        submit(new Send(ID, "a", 0));
+        replies.add(List.of(new Cancel(ID, 0)));
+        host.clientLeft(ID);
+        assertThat(answers).isEmpty();
+        replies.add(List.of(new Send(ID, "b", 0)));
+        endings.get(0).ended(Result.ERROR, Note.NONE, 0, null);
+        assertThat(answers).containsExactly("failed");
+        assertThat(orders).hasSize(1);
+    }
+
+    @Test
+    void afterItsClientsEndWhatOnlyWaitsIsWithdrawn() {
+        mayHaveRun = false;
+        submit(new Send(ID, "a", 0));
+        host.clientLeft(ID);
+        assertThat(answers).containsExactly("refused 100");
+        assertThat(events).last().isEqualTo(outcome(0, "a", Result.NOT_SENT, 0, true));
+    }
 }
