SIGHUP and SIGTERM are heard from the process's first line; a first request to a cold member is by chance

Seen: MainTest with a configuration that is a pipe, so that the process waits in the middle of its start: SIGHUP there ends the JVM, SIGTERM leaves with 143. Cause: Service.hearSignals and the hook came after the whole Assembly. Change: director.ProcessSignals is heard first; SIGHUP before the director is there is acted on when it is, SIGTERM then ends at once with 0 as nothing has been taken; Assembly.open listens only after that. A start that fails between the two ends with its line and waits for no loop (test: address in use).

--- a/src/main/java/clovermill/director/Assembly.java
+++ b/src/main/java/clovermill/director/Assembly.java
@@ -37,6 +37,7 @@
 import clovermill.store.Volume;
 import clovermill.upgrade.Shares;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -65,6 +66,7 @@
     private final Sharing sharing;
     /** Null where operators call nowhere. */
     private final AdminFront admin;
+    private final InetSocketAddress adminAddress;
     private final Departure departure;
     private final Reloader reloader;
     private final Ledger ledger;
@@ -74,7 +76,7 @@
     private final Accord accord;
 
     /**
-     * Listens and serves as soon as the loop runs, and says that it is ready {@code settleUs} later. Later
+     * Says that it is ready {@code settleUs} from now, once it is opened and its loop runs. Later
      * configurations come from {@code file}; {@code kept} is null where no ledger is kept, {@code fellows} where the
      * director acts alone.
      */
@@ -106,7 +108,6 @@
         channel = new CommandChannel(loop, clock, deadlines, config.channel(), new CommandChannel.Terms(
                 config.zones(), config.kinds(), settings.dialTimeoutUs(),
                 Math.min(settings.drainGraceUs(), settings.purgeNoticeUs())), known.cursor(), roster::apply);
-        channel.start();
         long settledUs = clock.micros() + settleUs;
         // What the configuration knows may be as old as the process that this one takes over from.
         BooleanSupplier caughtUp = () -> platform.passed() == null || channel.heard()
@@ -134,16 +135,10 @@
                     policies[0].holds(view);
                 });
         policies[0] = accord == null ? null : new PolicyDesk(accord, clock, loop::post);
+        adminAddress = platform.admin();
         admin = platform.admin() == null ? null : new AdminFront(loop, clock, deadlines, new Desk(
                 new Operations(roster, front, clock, marks, sharing == null ? () -> { } : sharing::catchUp),
                         policies[0]));
-        if (accord != null) {
-            accord.start();
-        }
-        if (admin != null) {
-            admin.open(platform.admin());
-        }
-        front.open();
         Retuning retuning = new Retuning(config, clock, deadlines, host, front, channel);
         departure = new Departure(loop, clock, deadlines, front, host, retuning::longestUs, platform.passed() != null);
         reloader = new Reloader(file, clock, deadlines, config, retuning::take);
@@ -153,6 +148,18 @@
         return loop;
     }
 
+    /** Listens, and asks for the list. The loop is to run from now on. */
+    void open() throws IOException {
+        channel.start();
+        if (accord != null) {
+            accord.start();
+        }
+        if (admin != null) {
+            admin.open(adminAddress);
+        }
+        front.open();
+    }
+
     /** The port on which clients are taken. */
     int port() {
         return front.port();
--- a/src/main/java/clovermill/director/Rehearsal.java
+++ b/src/main/java/clovermill/director/Rehearsal.java
@@ -46,6 +46,7 @@
             InetSocketAddress anywhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
             Assembly director = new Assembly(config, Path.of(file), clock, 0, null, null, null,
                     new Platform(null, anywhere, null));
+            director.open();
             Rehearsal rehearsal = new Rehearsal(director);
             InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), director.port());
             director.loop().connect(front, rehearsal.new Client()::over);
--- a/src/main/java/clovermill/director/Service.java
+++ b/src/main/java/clovermill/director/Service.java
@@ -6,7 +6,6 @@
 import clovermill.fleet.FleetSettings;
 import clovermill.ledger.LedgerSettings;
 import clovermill.net.Clock;
-import clovermill.reload.Signals;
 import clovermill.settings.LogSettings;
 import clovermill.settings.SettingsFile;
 import clovermill.settings.StructuredLog;
@@ -15,7 +14,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
 
 /** One director as a process: its start from files, its signals and its end. */
 public final class Service {
@@ -36,6 +34,17 @@
 
     /** Serves until it is asked to leave; {@code settings} names a file of our own settings, or is null. */
     public static void serve(String settings) throws BadStart, IOException {
+        ProcessSignals signals = ProcessSignals.hear();
+        boolean left = false;
+        try {
+            serve(settings, signals);
+            left = true;
+        } finally {
+            signals.ended(left);
+        }
+    }
+
+    private static void serve(String settings, ProcessSignals signals) throws BadStart, IOException {
         SettingsFile own = null;
         LedgerSettings ledger = null;
         FleetSettings fleet = null;
@@ -56,12 +65,16 @@
         if (file == null) {
             throw new BadStart("the configuration: BALANCER_CONFIG is not set");
         }
-        Assembly director;
         try {
             Config config = Config.load(file, System.getenv("BALANCER_LISTEN"));
-            director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger, fleet, accord,
-                    Platform.read(System.getenv(), config));
-            run(director, config);
+            Assembly director = new Assembly(config, Path.of(file), Clock.system(), Assembly.SETTLE_US, ledger, fleet,
+                    accord, Platform.read(System.getenv(), config));
+            signals.serves(director);
+            director.open();
+            LOG.log(Level.INFO, "{0} serves clients on {1}", config.name(), config.listen());
+            director.loop().run();
+            director.close();
+            LOG.log(Level.INFO, "{0} has left", config.name());
         } catch (Json.Malformed bad) {
             throw new BadStart("the configuration: " + bad.getMessage());
         } catch (IllegalArgumentException bad) {
@@ -74,46 +87,6 @@
         return bad.getMessage().startsWith("/") ? bad.getMessage() : "/ledger: " + bad.getMessage();
     }
 
-    private static void run(Assembly director, Config config) throws IOException {
-        int[] status = {1};
-        CountDownLatch left = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            director.loop().post(director::leave);
-            try {
-                left.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            // Without this the status would be that of the signal; one that has left as asked gives 0.
-            Runtime.getRuntime().halt(status[0]);
-        }, "departure"));
-        hearSignals(director);
-        LOG.log(Level.INFO, "{0} serves clients on {1}", config.name(), config.listen());
-        try {
-            director.loop().run();
-            director.close();
-            LOG.log(Level.INFO, "{0} has left", config.name());
-            status[0] = 0;
-        } finally {
-            left.countDown();
-        }
-    }
-
-    /** SIGHUP, which would end the JVM, brings a new configuration; what cannot be heard is said. */
-    private static void hearSignals(Assembly director) {
-        Signals.Hearing hangUp = Signals.onSignal("HUP",
-                () -> director.loop().post(director.reloader()::signalled));
-        if (hangUp != Signals.Hearing.HEARD) {
-            LOG.log(Level.WARNING, "SIGHUP is {0} in this process (nohup does that): the configuration file is"
-                    + " looked at for changes instead", hangUp == Signals.Hearing.IGNORED ? "ignored" : "unavailable");
-            director.loop().post(director.reloader()::watchAlways);
-        }
-        if (Signals.hearing("TERM") == Signals.Hearing.IGNORED) {
-            LOG.log(Level.WARNING, "SIGTERM is ignored in this process: it cannot be asked to leave, and what is"
-                    + " open when it is killed is lost");
-        }
-    }
-
     /** Part of the build: serves a few made-up requests with a director's configuration. */
     public static void rehearse(String file) throws BadStart, IOException {
         try {
--- a/src/main/java/clovermill/memory/Credit.java
+++ b/src/main/java/clovermill/memory/Credit.java
@@ -22,16 +22,17 @@
 
     /**
      * Grows at so much a microsecond up to now; what is left. While nobody knows how much a request is, {@code
-     * requestUs} is 0, and there is none: else many that have just started would have a free request each.
+     * requestUs} is 0, and only who owes no more than the part {@code free} has something: many directors that have
+     * just started would have a free request each else.
      */
-    public double grow(double perUs, double requestUs, long nowUs) {
+    public double grow(double perUs, double requestUs, double free, long nowUs) {
         if (requestUs > 0) {
             left -= owed * requestUs;
             owed = 0;
         }
         left = Math.min(0, left + perUs * (nowUs - sinceUs));
         sinceUs = nowUs;
-        return owed > 0 ? -1 : left;
+        return owed > free ? -1 : left;
     }
 
     /** Spends so much. */
--- a/src/main/java/clovermill/module/Cold.java
+++ b/src/main/java/clovermill/module/Cold.java
@@ -31,7 +31,7 @@
         double age = Math.max(0, (state.now + node.credit.sinceUs()) / 2.0 - node.startedUs);
         double part = rule.from() + (1 - rule.from()) * Math.min(1, age / rule.warmUs());
         double rate = COLD_MARGIN * rule.multiple() * part * state.members.ring(node).served.rate() * node.weight;
-        return node.credit.grow(rate, state.work.most(), state.now);
+        return node.credit.grow(rate, state.work.most(), 1.0 / state.members.sharers(node), state.now);
     }
 
     /** A start: what was known is void. The first debt is random: many directors with a request each keep the sum. */
--- a/src/main/java/clovermill/module/Membership.java
+++ b/src/main/java/clovermill/module/Membership.java
@@ -26,6 +26,12 @@
         return node.role == Role.PARENT ? parents : caches;
     }
 
+    /** How many directors send to a member. */
+    int sharers(Node node) {
+        return Math.max(1, node.role == Role.ORIGIN ? 1
+                : node.role == Role.PARENT ? state.settings.directors() : state.settings.directorsHere());
+    }
+
     void advance() {
         caches.advance(state.now, state.cold);
         parents.advance(state.now, state.cold);
--- a/src/main/java/clovermill/module/Policy.java
+++ b/src/main/java/clovermill/module/Policy.java
@@ -82,9 +82,7 @@
             return;
         }
         pending.failed.add(first.choice().target());
-        if (pending.kind.effect() != Effect.IDEMPOTENT) {
-            pending.mayHaveRun(first);
-        }
+        pending.mayHaveRun(first);
         Choice choice = path.choose(pending);
         if (choice != null && choice != Choice.LOADED && pending.mayRepeatAt(choice.target(), state)) {
             send(pending, new Choice(choice.target(), choice.source(), 0, choice.believed(), choice.sparing()));
@@ -170,9 +168,7 @@
     private void onGone(Pending pending) {
         over(pending);
         if (state.settings.allowed().cancelling()) {
-            for (int index : List.copyOf(pending.out.keySet())) {
-                state.out.accept(new Cancel(pending.request.id(), index));
-            }
+            List.copyOf(pending.out.keySet()).forEach(i -> state.out.accept(new Cancel(pending.request.id(), i)));
         }
     }
 
--- a/src/main/java/clovermill/module/Room.java
+++ b/src/main/java/clovermill/module/Room.java
@@ -86,11 +86,9 @@
      * for each fellow what this one has out there on average, since all see the same clients.
      */
     private double load(Node node) {
-        int sharers = node.role == Role.ORIGIN ? 1
-                : node.role == Role.PARENT ? state.settings.directors() : state.settings.directorsHere();
         double known = 1 - Math.exp(-Math.max(1, state.now - state.startedUs) / Held.SPAN_US);
         double held = node.held.mean(state.now);
-        return node.held.now() + node.shared.fellows(held, Math.max(0, sharers - 1) * held / known, state.now);
+        return node.held.now() + node.shared.fellows(held, (state.members.sharers(node) - 1) * held / known, state.now);
     }
 
     /**
--- a/src/test/java/clovermill/ColdSumTest.java
+++ b/src/test/java/clovermill/ColdSumTest.java
@@ -7,7 +7,6 @@
 import clovermill.CacheRouter.ColdRule;
 import clovermill.CacheRouter.Event;
 import clovermill.CacheRouter.ListScope;
-import clovermill.CacheRouter.Member;
 import clovermill.CacheRouter.Members;
 import clovermill.CacheRouter.Note;
 import clovermill.CacheRouter.Outcome;
@@ -16,7 +15,6 @@
 import clovermill.CacheRouter.Send;
 import clovermill.CacheRouter.SendVia;
 import clovermill.CacheRouter.SetTimer;
-import clovermill.CacheRouter.Telling;
 import clovermill.CacheRouter.Timer;
 import clovermill.module.Policy;
 import java.util.ArrayList;
@@ -177,8 +175,8 @@
         }
 
         /**
-         * Some hang until they are overdue, some fail, some are refused; a third of what is asked for is missed, and all
-         * of one class where sizes are not told: no hit tells of its work.
+         * Some hang until they are overdue, some fail, some are refused; a third of what is asked for is missed, and
+         * all of one class where sizes are not told: no hit tells of its work.
          */
         private void attempt(int director, String request, String member, String source) {
             if (coldSinceUs > 0 && (member.equals(cold) || source.equals(cold))) {
@@ -191,7 +189,8 @@
                     || !toldSizes && request.startsWith("f"));
             due.add(new Due(now + tookUs, ++count, director, new Outcome(request,
                     attempts.merge(request, 1, Integer::sum) - 1, member, result, tookUs, result == Result.OK,
-                    result != Result.OK ? Note.NONE : filled ? Note.FILLED : Note.HIT, filled ? tookUs / 2 : 0, null)));
+                    result != Result.OK ? Note.NONE : filled ? Note.FILLED : Note.HIT, filled ? tookUs / 2 : 0,
+                    null)));
         }
     }
 }
--- a/src/test/java/clovermill/MainTest.java
+++ b/src/test/java/clovermill/MainTest.java
@@ -32,6 +32,10 @@
     /** Starts a director by way of a shell, which may have signals ignored before. */
     private Process start(String config, String... shell) throws IOException {
         Files.writeString(file(), config);
+        return startOnFile(shell);
+    }
+
+    private Process startOnFile(String... shell) throws IOException {
         List<String> command = new ArrayList<>();
         if (shell.length > 0) {
             command.addAll(List.of("sh", "-c", shell[0] + "; exec \"$0\" \"$@\""));
@@ -106,6 +110,65 @@
         }
     }
 
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    /** Does something while the process waits for the pipe that is its configuration, and lets it go on then. */
+    private void writeToPipe(Step meanwhile, String config) throws Exception {
+        OutputStream pipe = new FileOutputStream(file().toFile());
+        meanwhile.run();
+        pipe.write(config.getBytes(StandardCharsets.US_ASCII));
+        pipe.close();
+    }
+
+    /**
+     * It would end the JVM; restarts and new configurations come together. The configuration is a pipe, so that the
+     * process waits for it in the middle of its start.
+     */
+    @Test
+    void aHangUpBeforeTheDirectorIsThereIsActedOnWhenItIs() throws Exception {
+        try (ServerSocket before = channel(); ServerSocket after = channel()) {
+            assertThat(new ProcessBuilder("mkfifo", file().toString()).start().waitFor()).isZero();
+            Process process = startOnFile();
+            try (BufferedReader lines = process.inputReader()) {
+                writeToPipe(() -> assertThat(new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor())
+                        .isZero(), config(before.getLocalPort()));
+                before.accept().close();
+                writeToPipe(() -> replace(config(after.getLocalPort())), config(after.getLocalPort()));
+                after.accept().close();
+                assertThat(lines.readLine()).startsWith("INFO n1 serves clients on ");
+            } finally {
+                process.destroy();
+                assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            }
+        }
+    }
+
+    @Test
+    void aDirectorThatIsAskedToStopBeforeItIsThereEndsAtOnceAndExitsWithZero() throws Exception {
+        assertThat(new ProcessBuilder("mkfifo", file().toString()).start().waitFor()).isZero();
+        Process process = startOnFile();
+        writeToPipe(() -> {
+            process.destroy();
+            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        }, "");
+        assertThat(process.exitValue()).isZero();
+    }
+
+    /** Between the moment in which signals are the director's and its loop nothing may wait for that loop. */
+    @Test
+    void aDirectorWhoseAddressIsTakenEndsWithOneLine() throws Exception {
+        try (ServerSocket taken = channel()) {
+            Process process = start(config(1).replace("\"listen\":\"127.0.0.1:0\"",
+                    "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""));
+            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(process.exitValue()).isEqualTo(1);
+            assertThat(new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines())
+                    .containsExactly("clovermill: Address already in use");
+        }
+    }
+
     @Test
     void aDirectorThatCannotBeAskedToLeaveOrHearsNoNewsSaysSo() throws Exception {
         Process process = start(config(1), "trap '' TERM");
--- a/src/test/java/clovermill/director/Scenario.java
+++ b/src/test/java/clovermill/director/Scenario.java
@@ -157,7 +157,7 @@
 
     private Assembly started(long settleUs, LedgerSettings ledger) throws Exception {
         Config config = Config.read(configuration(), null);
-        return new Assembly(config, file(), new Clock() {
+        Assembly assembly = new Assembly(config, file(), new Clock() {
             @Override
             public long micros() {
                 return nowUs;
@@ -169,6 +169,8 @@
             }
         }, settleUs, ledger, null, null, new Platform(passed, config.admin(),
                 passed == null ? null : folder.resolve("shared")));
+        assembly.open();
+        return assembly;
     }
 
     private String configuration() throws IOException {
--- a/src/test/java/clovermill/host/HostTest.java
+++ b/src/test/java/clovermill/host/HostTest.java
@@ -53,8 +53,8 @@
             events.add(event);
             (replies.isEmpty() ? List.<Action>of() : replies.poll()).forEach(out);
         }
-    }, new CacheRouter.Settings(0, 1, 0, List.of(SAFE, KEYED), List.of(), List.of(), -1, -1, 0, false, CacheRouter.Siblings.NONE,
-            CacheRouter.Telling.ALL, null, null, 0, 4000, 0, 0, 0, false, 0, 0, 0, 0,
+    }, new CacheRouter.Settings(0, 1, 0, List.of(SAFE, KEYED), List.of(), List.of(), -1, -1, 0, false,
+            CacheRouter.Siblings.NONE, CacheRouter.Telling.ALL, null, null, 0, 4000, 0, 0, 0, false, 0, 0, 0, 0,
             new CacheRouter.Permissions(true, true, true, true, true, false, 2, 10, 500_000)),
             new Clock() {
                 @Override
@@ -102,7 +102,8 @@
 
     private void submit(int requestClass, Action... reply) {
         replies.add(List.of(reply));
-        host.submit(new Ask(ID, requestClass, "page", "7f3a9c21e0b4d655", 0, 0, 1, 100_000, false, null, null, new byte[0]),
+        host.submit(new Ask(ID, requestClass, "page", "7f3a9c21e0b4d655", 0, 0, 1, 100_000, false, null, null,
+                new byte[0]),
                 new Asker() {
                     @Override
                     public void served(Answer answer) {
