Scenarios of the moments around a close, and a half-written attempt that was given up goes no further

Change: an attempt that timed out with a part of it unwritten may go on for 50 ms only (Attempt.unwantedForUs): later it would arrive whole beside the attempt that followed it. The scenario language can have the director find several things in one turn (together), and let a client read again (open).

--- a/src/main/java/clovermill/host/Attempt.java
+++ b/src/main/java/clovermill/host/Attempt.java
@@ -25,6 +25,7 @@
     /** How long after the first a further attempt may be sent, or {@link Long#MAX_VALUE} where nothing binds it. */
     private final long windowUs;
     private boolean ended;
+    private long endedUs;
     private LoadReport load;
 
     Attempt(Host host, Call call, String member, long windowUs) {
@@ -47,12 +48,17 @@
 
     @Override
     public boolean mayBegin() {
-        return call.unwantedForUs() < 0 && allowed();
+        return unwantedForUs() < 0 && allowed();
     }
 
     @Override
     public boolean mayGoOn() {
-        return call.unwantedForUs() < GOES_ON_US && allowed();
+        return unwantedForUs() < GOES_ON_US && allowed();
+    }
+
+    /** For how long nobody may have waited for this attempt: its client, or this director, which gave it up. */
+    private long unwantedForUs() {
+        return Math.max(call.unwantedForUs(), ended ? host.clock.micros() - endedUs : -1);
     }
 
     /** Whether the policy of the fleet allows it, and the window for repeats, at this moment. */
@@ -82,6 +88,7 @@
             return;
         }
         ended = true;
+        endedUs = host.clock.micros();
         host.deadlines.cancel(timeout);
         call.out.remove(number);
         if (!result.neverRan()) {
--- a/src/test/java/clovermill/director/Scenario.java
+++ b/src/test/java/clovermill/director/Scenario.java
@@ -48,9 +48,10 @@
  * expect channel resume=1                     at whatever party is polled; expect director stopped
  * close c1                                    in both directions; with half: only sending; with reset: by a reset
  * close s-1 listener                          takes no connections, they are refused; with deaf: they never come up
- * close c1 deaf                               reads nothing from now on
+ * close c1 deaf                               reads nothing from now on, until: open c1
  * wait 400                                    milliseconds
  * times 3 STEP                                the step with # standing for 10, 11 and 12
+ * together STEP ;; STEP                       sends and closes that the director finds in one turn, in that order
  * </pre>
  */
 final class Scenario implements AutoCloseable {
@@ -65,6 +66,7 @@
     private final ServerSocketChannel passed;
     private Assembly director;
     private Assembly previous;
+    private boolean held;
 
     /** One connection of a party, and what has arrived on it. */
     private static final class Link {
@@ -250,6 +252,14 @@
                     step(repeated[0], repeated[1]);
                 }
             }
+            case "together" -> {
+                held = true;
+                for (String each : rest.split(" ;; ")) {
+                    step(each.split(" ", 2)[0], each.split(" ", 2)[1]);
+                }
+                held = false;
+                turn(1);
+            }
             case "wait" -> {
                 for (long i = Long.parseLong(rest); i > 0; i -= 10) {
                     nowUs += 1000 * Math.min(10, i);
@@ -262,12 +272,16 @@
                 previous = director;
                 director = started(Long.parseLong(rest.split(" ")[1]) * 1000, null);
             }
+            case "open" -> party(rest).deaf = false;
             case "close" -> close(parts[0], parts.length > 1 ? parts[1] : "");
             default -> throw new IllegalArgumentException("unknown verb");
         }
     }
 
     private void turn(long mostMs) throws IOException {
+        if (held) {
+            return;
+        }
         if (previous != null) {
             previous.loop().turn(0);
         }
--- a/src/test/java/clovermill/host/HostTest.java
+++ b/src/test/java/clovermill/host/HostTest.java
@@ -309,4 +309,16 @@
         assertThat(answers).containsExactly("refused 100");
         assertThat(events).last().isEqualTo(outcome(0, "a", Result.NOT_SENT, 0, true));
     }
+
+    /** Half written it would arrive beside the attempt that follows it. */
+    @Test
+    void whatTimedOutGoesOnForAMomentOnly() {
+        submit(new Send(ID, "a", 5000));
+        replies.add(List.of(new Send(ID, "b", 0)));
+        at(6000);
+        assertThat(endings.get(0).mayGoOn()).isTrue();
+        at(56_000);
+        assertThat(endings.get(0).mayGoOn()).isFalse();
+        assertThat(endings.get(1).mayGoOn()).isTrue();
+    }
 }
