An answered id is kept back for 50 ms, not for 200 ids: repeats to a cache need no further connection

A second copy comes some milliseconds late, so 50 ms do. CacheConnection is split (AnswerGuard, SpentIds). CachePoolTest and scenarios pass.

--- /dev/null
+++ b/src/main/java/clovermill/cache/AnswerGuard.java
@@ -0,0 +1,61 @@
+package clovermill.cache;
+
+import clovermill.net.Connection;
+import clovermill.net.Deadlines.Deadline;
+
+/**
+ * Guards against answers that stop short while their connection stays open, and against those that go on for ever bit by
+ * bit: what is behind them on the same connection can never be read, so that all on it would wait in vain.
+ */
+final class AnswerGuard {
+
+    private final CachePool pool;
+    private final Connection connection;
+    private final AnswerParser parser;
+    private Deadline stall;
+    private long heardUs;
+    private boolean closed;
+
+    AnswerGuard(CachePool pool, Connection connection, AnswerParser parser) {
+        this.pool = pool;
+        this.connection = connection;
+        this.parser = parser;
+    }
+
+    /** Something has been read. */
+    void heard() {
+        heardUs = pool.now();
+    }
+
+    long heardUs() {
+        return heardUs;
+    }
+
+    /** Looks after an answer that is in its middle. */
+    void watch() {
+        if (stall == null && parser.midAnswer() && connection.isOpen()) {
+            stall = pool.dialDeadline(() -> {
+                stall = null;
+                if (parser.midAnswer() && !parser.waitsForRoom() && pool.dialTimeHasPassed(heardUs)) {
+                    connection.close();
+                } else {
+                    watch();
+                }
+            });
+        }
+    }
+
+    /** Nobody waits for the answer that is being read: it may take as long as a dial now. */
+    void endUnlessAnswered(String id) {
+        pool.dialDeadline(() -> {
+            if (!closed && parser.answers(id)) {
+                connection.close();
+            }
+        });
+    }
+
+    void close() {
+        closed = true;
+        pool.cancel(stall);
+    }
+}
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -18,11 +18,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -33,11 +30,6 @@
  */
 final class CacheConnection implements Connection.Handler {
 
-    /** Given-up ids that are remembered, lest a late answer be taken for that of a further attempt. */
-    private static final int MOST_ABANDONED = 1000;
-    /** Ids that are remembered after their answer; a second copy comes some milliseconds late. */
-    private static final int MOST_USED = 200;
-
     private static final System.Logger LOG = System.getLogger(CacheConnection.class.getName());
     private final CachePool pool;
     private final Connection connection;
@@ -45,17 +37,14 @@
     private final Budget budget;
     private final Map<String, CacheExchange> open = new HashMap<>();
     private final ArrayDeque<CacheExchange> waiting = new ArrayDeque<>();
-    private final Set<String> abandoned = new HashSet<>();
-    /** Ids of lately, the eldest first: a second copy of an answer may be late, and must not be taken for another's. */
-    private final Set<String> used = new LinkedHashSet<>();
+    private final SpentIds spent = new SpentIds();
+    private final AnswerGuard guard;
     /** What was given up with a part of it unwritten. */
     private final List<CacheExchange> unfinished = new ArrayList<>(1);
     private Deadline dialOrIdle;
-    private Deadline stall;
     private boolean connected;
     private boolean retired;
     private boolean closed;
-    private long heardUs;
     /** When the first request went out since anything was heard; 0 if none did. */
     private long unheardSinceUs;
 
@@ -64,6 +53,7 @@
         this.connection = connection;
         this.budget = budget;
         this.parser = new AnswerParser(budget, this::answer);
+        this.guard = new AnswerGuard(pool, connection, parser);
         this.dialOrIdle = pool.dialDeadline(connection::close);
     }
 
@@ -81,8 +71,7 @@
 
     /** Whether a request may share this connection: no other one with its id must be possible on it. */
     boolean takes(String id, int streams) {
-        return !retired && open.size() < streams && !open.containsKey(id) && !used.contains(id)
-                && !abandoned.contains(id);
+        return !retired && open.size() < streams && !open.containsKey(id) && !spent.contains(id, pool.now());
     }
 
     /** Whether nothing but the end of this turn keeps back what is queued here. */
@@ -105,11 +94,7 @@
 
     /** Withdraws what is queued and {@code which} names; what is half written is to go no further. */
     void withdraw(Predicate<CacheExchange> which, Result result) {
-        for (CacheExchange exchange : List.copyOf(waiting)) {
-            if (which.test(exchange)) {
-                withdraw(exchange, result);
-            }
-        }
+        List.copyOf(waiting).stream().filter(which).forEach(exchange -> withdraw(exchange, result));
         Stream.concat(open.values().stream(), unfinished.stream()).filter(which).forEach(CacheExchange::revoke);
     }
 
@@ -131,31 +116,22 @@
                 if (!exchange.isWhole()) {
                     unfinished.add(exchange);
                 }
-                abandoned.add(exchange.id);
+                spent.abandon(exchange.id);
                 connection.send(text("never_mind " + exchange.id + "\r\n"));
                 // Guards against a machine that vanished, and one that answers no more here: it resets
                 // nothing, so a connection on which nothing came while requests waited is not trusted.
                 boolean silent = unheardSinceUs > 0 && pool.dialTimeHasPassed(unheardSinceUs);
-                if (silent || abandoned.size() >= MOST_ABANDONED || parser.answers(exchange.id)) {
+                if (silent || spent.full() || parser.answers(exchange.id)) {
                     retire();
                 }
                 if (parser.answers(exchange.id)) {
-                    endUnlessAnswered(exchange.id);
+                    guard.endUnlessAnswered(exchange.id);
                 }
             }
             settled();
         }
     }
 
-    /** Guards against an answer that never ends, bit by bit: all behind it on this connection would wait in vain. */
-    private void endUnlessAnswered(String id) {
-        pool.dialDeadline(() -> {
-            if (!closed && parser.answers(id)) {
-                connection.close();
-            }
-        });
-    }
-
     /** No new requests here; closes once none is open. */
     void retire() {
         retired = true;
@@ -185,10 +161,6 @@
 
     private void begin(CacheExchange exchange) {
         unheardSinceUs = unheardSinceUs == 0 ? pool.now() : unheardSinceUs;
-        used.add(exchange.id);
-        if (used.size() > MOST_USED) {
-            used.remove(used.iterator().next());
-        }
         List<ByteBuffer> parts = exchange.begin();
         for (ByteBuffer part : parts.subList(0, parts.size() - 1)) {
             connection.send(part);
@@ -244,31 +216,14 @@
 
     @Override
     public void received(ByteBuffer data) throws IOException {
-        heardUs = pool.now();
+        guard.heard();
         unheardSinceUs = 0;
         parser.parse(data);
         if (parser.waitsForRoom()) {
             connection.pause();
             budget.await(connection::resume);
         }
-        watch();
-    }
-
-    /**
-     * Guards against an answer that stops short while its connection stays open: what is behind it on the
-     * same connection can never be read, so that all on it would wait in vain for their whole time.
-     */
-    private void watch() {
-        if (stall == null && parser.midAnswer() && connection.isOpen()) {
-            stall = pool.dialDeadline(() -> {
-                stall = null;
-                if (parser.midAnswer() && !parser.waitsForRoom() && pool.dialTimeHasPassed(heardUs)) {
-                    connection.close();
-                } else {
-                    watch();
-                }
-            });
-        }
+        guard.watch();
     }
 
     private void answer(String id, String word, Map<String, String> fields, Body body)
@@ -276,7 +231,7 @@
         CacheExchange exchange = open.get(id);
         if (exchange == null || !exchange.begun()) {
             // A late answer, a second copy or one under an unknown id: it costs only itself.
-            abandoned.remove(id);
+            spent.late(id);
             body.close();
             return;
         }
@@ -290,7 +245,8 @@
         Note note = AnswerWords.note(fields.get("res"));
         long waitedUs = AnswerWords.micros(fields.get("ttfb"));
         open.remove(id);
-        unheardSinceUs = open.isEmpty() ? 0 : heardUs;
+        spent.answered(id, pool.now());
+        unheardSinceUs = open.isEmpty() ? 0 : guard.heardUs();
         Answer answer = result != Result.OK ? null : new Answer(body, word.equals("KEEP"), fields.get("etag"));
         if (answer == null) {
             body.close();
@@ -326,7 +282,7 @@
         closed = true;
         retired = true;
         pool.cancel(dialOrIdle);
-        pool.cancel(stall);
+        guard.close();
         pool.closed(this);
         parser.close();
         waiting.clear();
