What came behind a request, its client's end above all, is seen before it is sent on

After a turn that took long the client may have left much before. Cause: Connection.read read once a turn. Change: an accepted connection is read twice; a second read that finds nothing is the cost. Also: EventLoop.adopt gives a place and a descriptor back when a peer cannot be taken in (it kept both); after=1 is told to whom the director turns away only where the settings allow it. Cost of the second read: not measured yet.

--- a/src/main/java/clovermill/cache/AnswerGuard.java
+++ b/src/main/java/clovermill/cache/AnswerGuard.java
@@ -4,7 +4,7 @@
 import clovermill.net.Deadlines.Deadline;
 
 /**
- * Guards against answers that stop short while their connection stays open, and against those that go on for ever bit by
+ * Guards against answers that stop short while their connection stays open, and those that go on for ever bit by
  * bit: what is behind them on the same connection can never be read, so that all on it would wait in vain.
  */
 final class AnswerGuard {
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -165,11 +165,7 @@
         for (ByteBuffer part : parts.subList(0, parts.size() - 1)) {
             connection.send(part);
         }
-        connection.send(parts.get(parts.size() - 1), () -> {
-            if (connection.isOpen()) {
-                exchange.whole();
-            }
-        });
+        connection.send(parts.get(parts.size() - 1), () -> exchange.written(connection.isOpen()));
     }
 
     /** Looks after a connection that may have become idle. */
--- a/src/main/java/clovermill/cache/CacheExchange.java
+++ b/src/main/java/clovermill/cache/CacheExchange.java
@@ -59,9 +59,9 @@
         return request;
     }
 
-    /** All of it has been written. */
-    void whole() {
-        whole = true;
+    /** All of it has been written, or never will be. */
+    void written(boolean all) {
+        whole = all;
     }
 
     boolean isWhole() {
--- a/src/main/java/clovermill/front/ClientStreams.java
+++ b/src/main/java/clovermill/front/ClientStreams.java
@@ -43,7 +43,8 @@
         int bodyBytes = payload.remaining();
         boolean turnedAway = shared.turningAway().getAsBoolean();
         if (turnedAway || open.size() >= MOST_OPEN || !shared.budget().take(bodyBytes)) {
-            connection.refuse(stream, turnedAway ? AT_ONCE_MS : shared.awayMs().getAsLong());
+            long awayMs = shared.awayMs().getAsLong();
+            connection.refuse(stream, turnedAway ? Math.min(AT_ONCE_MS, awayMs) : awayMs);
             notTaken(fields);
             return;
         }
--- a/src/main/java/clovermill/host/Host.java
+++ b/src/main/java/clovermill/host/Host.java
@@ -151,7 +151,7 @@
         for (Call call : List.copyOf(calls.values())) {
             if (!call.over()) {
                 if (call.sent == 0) {
-                    call.refuse(1);
+                    call.refuse(Math.min(1, awayMs()));
                 } else {
                     call.fail();
                 }
--- a/src/main/java/clovermill/net/Connection.java
+++ b/src/main/java/clovermill/net/Connection.java
@@ -42,10 +42,16 @@
     private static final Runnable NOTHING = () -> { };
     /** What one connection may write in one turn: a big answer must not hold up the others. */
     private static final int TURN_BYTES = 1 << 18;
+    /**
+     * An accepted connection is read so often in one turn: what came behind a request, an end above all, is seen before
+     * anything is sent on for it, however long both have lain there.
+     */
+    private static final int TURN_READS = 2;
 
     private final EventLoop loop;
     private final SocketChannel channel;
     private final SelectionKey key;
+    private final int reads;
     private final ArrayDeque<Piece> out = new ArrayDeque<>();
     private Handler handler;
     private ByteBuffer kept;
@@ -58,7 +64,8 @@
     private boolean dirty;
     private boolean closeWhenFlushed;
 
-    Connection(EventLoop loop, SocketChannel channel, SelectionKey key, boolean connecting) {
+    Connection(EventLoop loop, SocketChannel channel, SelectionKey key, boolean connecting, boolean accepted) {
+        this.reads = accepted ? TURN_READS : 1;
         this.loop = loop;
         this.channel = channel;
         this.key = key;
@@ -217,12 +224,16 @@
 
     private void read() throws IOException {
         ByteBuffer buffer = loop.readBuffer();
-        int count = channel.read(buffer.clear());
-        if (count < 0) {
-            ended = true;
-            handler.ended();
-        } else if (count > 0) {
-            hand(buffer.flip());
+        for (int i = 0; i < reads && open && !paused && !ended; i++) {
+            int count = channel.read(buffer.clear());
+            if (count < 0) {
+                ended = true;
+                handler.ended();
+            } else if (count > 0) {
+                hand(buffer.flip());
+            } else {
+                return;
+            }
         }
     }
 
--- a/src/main/java/clovermill/net/EventLoop.java
+++ b/src/main/java/clovermill/net/EventLoop.java
@@ -238,13 +238,21 @@
 
     private Connection adopt(SocketChannel channel, int interest, boolean connecting,
             Function<Connection, Connection.Handler> handlers, Listener from) throws IOException {
-        channel.configureBlocking(false);
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        SelectionKey key = channel.register(selector, interest);
-        Connection connection = new Connection(this, channel, key, connecting);
-        key.attach(new Attachment(connection, from));
-        connection.handler(handlers.apply(connection));
-        return connection;
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            SelectionKey key = channel.register(selector, interest);
+            Connection connection = new Connection(this, channel, key, connecting, from != null);
+            key.attach(new Attachment(connection, from));
+            connection.handler(handlers.apply(connection));
+            return connection;
+        } catch (IOException | RuntimeException failure) {
+            quietly(channel);
+            if (from != null) {
+                from.given(); // else each such peer would take a place for ever
+            }
+            throw failure;
+        }
     }
 
     /** Runs {@code task} on the loop's thread; the only call that other threads may make. */
--- a/src/test/java/clovermill/MainTest.java
+++ b/src/test/java/clovermill/MainTest.java
@@ -149,11 +149,15 @@
     void aDirectorThatIsAskedToStopBeforeItIsThereEndsAtOnceAndExitsWithZero() throws Exception {
         assertThat(new ProcessBuilder("mkfifo", file().toString()).start().waitFor()).isZero();
         Process process = startOnFile();
-        writeToPipe(() -> {
-            process.destroy();
-            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
-        }, "");
-        assertThat(process.exitValue()).isZero();
+        try {
+            writeToPipe(() -> {
+                process.destroy();
+                assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            }, "");
+            assertThat(process.exitValue()).isZero();
+        } finally {
+            process.destroyForcibly();
+        }
     }
 
     /** Between the moment in which signals are the director's and its loop nothing may wait for that loop. */
@@ -162,10 +166,14 @@
         try (ServerSocket taken = channel()) {
             Process process = start(config(1).replace("\"listen\":\"127.0.0.1:0\"",
                     "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""));
-            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
-            assertThat(process.exitValue()).isEqualTo(1);
-            assertThat(new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines())
-                    .containsExactly("clovermill: Address already in use");
+            try {
+                assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+                assertThat(process.exitValue()).isEqualTo(1);
+                assertThat(new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines())
+                        .containsExactly("clovermill: Address already in use");
+            } finally {
+                process.destroyForcibly();
+            }
         }
     }
 
