--- a/src/main/java/clovermill/front/FrameConnection.java
+++ b/src/main/java/clovermill/front/FrameConnection.java
@@ -108,7 +108,17 @@
         fail(0);
         closing = true;
         connection.pause();
+        answerAll();
+    }
+
+    /** Nothing more is worked on here: what waits gets its final answer, what is out may still be answered. */
+    private void answerAll() {
         streams.bar();
+        for (HeldFrames.Frame next = held.poll(); next != null; next = held.poll()) {
+            if (next.type() == Frames.REQUEST) {
+                refuse(next.stream(), shared.awayMs().getAsLong());
+            }
+        }
         closeIfDone();
     }
 
@@ -252,18 +262,12 @@
         closeIfDone();
     }
 
-    /** The client sends no more: it may have gone, or only read on. What waits here gets its final answer. */
+    /** The client sends no more: it may have gone, or only read on. */
     @Override
     public void ended() {
         ended = true;
         closing = true;
-        streams.bar();
-        for (HeldFrames.Frame next = held.poll(); next != null; next = held.poll()) {
-            if (next.type() == Frames.REQUEST) {
-                refuse(next.stream(), shared.awayMs().getAsLong());
-            }
-        }
-        closeIfDone();
+        answerAll();
     }
 
     private void closeIfDone() {
