An answer that moves on is not cut off when its client calls it off

Change: it is closed only if the answer would need over 20 dial times at the pace seen; it is no longer retired. Measured: CachePoolTest's new case (200,000 bytes over nine dial times, another answer behind them) fails with 0 for 20 and passes; the dripping answer still ends its connection.

--- a/src/main/java/clovermill/cache/AnswerGuard.java
+++ b/src/main/java/clovermill/cache/AnswerGuard.java
@@ -9,6 +9,9 @@
  */
 final class AnswerGuard {
 
+    /** What goes on at the pace of an answer that is slow but whole in the end takes no longer, in dial times. */
+    private static final int MOST_DIALS = 20;
+
     private final CachePool pool;
     private final Connection connection;
     private final AnswerParser parser;
@@ -45,11 +48,17 @@
         }
     }
 
-    /** Nobody waits for the answer that is being read: it may take as long as a dial now. */
+    /** Nobody waits for the answer that is being read: it may go on while it would be whole in some dials' time. */
     void endUnlessAnswered(String id) {
+        int leftBefore = parser.left();
         pool.dialDeadline(() -> {
-            if (!closed && parser.answers(id)) {
+            if (closed || !parser.answers(id)) {
+                return;
+            }
+            if ((leftBefore - parser.left()) * MOST_DIALS < parser.left()) {
                 connection.close();
+            } else {
+                endUnlessAnswered(id);
             }
         });
     }
--- a/src/main/java/clovermill/cache/AnswerParser.java
+++ b/src/main/java/clovermill/cache/AnswerParser.java
@@ -75,6 +75,11 @@
         return words != null && words[0].equals(id);
     }
 
+    /** The bytes that the answer being read still lacks. */
+    int left() {
+        return words == null ? 0 : length - filled;
+    }
+
     /** Gives back what a broken connection leaves unfinished. */
     void close() {
         if (body != null) {
--- a/src/main/java/clovermill/cache/CacheConnection.java
+++ b/src/main/java/clovermill/cache/CacheConnection.java
@@ -121,7 +121,7 @@
                 // Guards against a machine that vanished, and one that answers no more here: it resets
                 // nothing, so a connection on which nothing came while requests waited is not trusted.
                 boolean silent = unheardSinceUs > 0 && pool.dialTimeHasPassed(unheardSinceUs);
-                if (silent || spent.full() || parser.answers(exchange.id)) {
+                if (silent || spent.full()) {
                     retire();
                 }
                 if (parser.answers(exchange.id)) {
--- a/src/test/java/clovermill/cache/CachePoolTest.java
+++ b/src/test/java/clovermill/cache/CachePoolTest.java
@@ -244,6 +244,29 @@
         assertThat(behind.result).isEqualTo(Result.BROKEN);
     }
 
+    /** Its client called it off, as clients do; those behind it must not pay for that. */
+    @Test
+    void aLargeAnswerThatMovesOnCostsTheOthersNothing() throws IOException {
+        Attempt large = send("00000000000000a1", "aa", null, 0);
+        Attempt behind = send("00000000000000a2", "bb", null, 0);
+        until(() -> !accepted.isEmpty() && large.exchange.begun() && behind.exchange.begun());
+        answer(0, "00000000000000a1 DONE made=5 200000\r\n" + "x".repeat(20_000));
+        for (int i = 0; i < 20; i++) {
+            turn();
+        }
+        large.exchange.giveUp();
+        for (int part = 0; part < 18; part++) {
+            answer(0, "x".repeat(10_000));
+            for (int i = 0; i < 20; i++) {
+                turn();
+            }
+            nowUs += DIAL_US / 2;
+        }
+        answer(0, "\r\n00000000000000a2 DONE made=5 5\r\nhello\r\n");
+        until(() -> behind.result != null);
+        assertThat(behind.result).isEqualTo(Result.OK);
+    }
+
     private void answer(int connection, String text) throws IOException {
         accepted.get(connection).write(ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
     }
