Consensus: a replica that was killed while it joined asks for admission again

Cause: RaftMember.admitted was true from the start and stood in memory only; a restored learner took itself for a voter and RaftMember.join returned at once. Change: an initial identity is admitted, a later one asks after each restart until a member says that it votes. Why it holds: admission is read from the group, not from this process; asking twice changes nothing there.

--- a/src/main/java/clovermill/controlplane/consensus/RaftMember.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftMember.java
@@ -53,7 +53,12 @@
     /** Whether each other process has a group, as far as they have answered. */
     private final Map<Integer, Boolean> groups = new HashMap<>();
     private RaftReplica<M> replica;
-    private boolean admitted = true;
+    /**
+     * Whether the replica is known to be a voter: one of the initial members is, a later identity once a process has
+     * said so in this life. Its storage does not tell: a process may have been killed between its new identity and its
+     * admission, and has to ask on (docs/incidents/admission-forgotten.md).
+     */
+    private boolean admitted;
     private long nextJoinMicros;
     private boolean suspended;
     private long nextRecoverMicros;
@@ -93,6 +98,7 @@
     private void startReplica(ReplicaId self, RestoredRaftState restored) {
         List<ReplicaId> replicas = membership.nodes().stream().map(node -> new ReplicaId(node, 0)).toList();
         replica = new RaftReplica<>(self, replicas, restored, stateMachines.get(), host);
+        admitted = self.disk() == 0;
         onReplicaCreated.accept(replica);
         replica.start();
     }
@@ -218,7 +224,6 @@
             return;
         }
         startReplica(new ReplicaId(membership.self(), host.random().nextLong() >>> 1 | 1), null);
-        admitted = false;
     }
 
     /** Stops the replica. */
