--- /dev/null
+++ b/src/main/java/clovermill/controlplane/consensus/LogTerms.java
@@ -0,0 +1,129 @@
+package clovermill.controlplane.consensus;
+
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The terms of the entries that a replica's log holds, observed on their way to its store: MicroRaft tells neither its
+ * log nor its snapshot's index. Not thread-safe.
+ */
+final class LogTerms implements RaftStore {
+
+    /** The index of a log without a snapshot. */
+    static final long NO_SNAPSHOT = 0;
+
+    private final RaftStore store;
+    /** One for each entry behind the snapshot, and for a few before it: as many as MicroRaft's log holds. */
+    private final TreeMap<Long, Integer> terms = new TreeMap<>();
+    private long snapshotIndex = NO_SNAPSHOT;
+    private int snapshotTerm;
+    /** The chunks written of the snapshot at {@link #partialIndex}. */
+    private final Set<Integer> partialChunks = new HashSet<>();
+    private long partialIndex = NO_SNAPSHOT;
+
+    /** Observes a store; {@code restored} is the state from it, or null for an empty one. */
+    LogTerms(RaftStore store, RestoredRaftState restored) {
+        this.store = store;
+        if (restored != null) {
+            restore(restored);
+        }
+    }
+
+    private void restore(RestoredRaftState restored) {
+        SnapshotEntry snapshot = restored.getSnapshotEntry();
+        if (snapshot != null) {
+            snapshotIndex = snapshot.getIndex();
+            snapshotTerm = snapshot.getTerm();
+        }
+        restored.getLogEntries().forEach(entry -> terms.put(entry.getIndex(), entry.getTerm()));
+    }
+
+    /** The index of the last entry that the snapshot covers, or {@link #NO_SNAPSHOT}. */
+    long snapshotIndex() {
+        return snapshotIndex;
+    }
+
+    /** The index of the last entry, or that of the snapshot where the log holds none. */
+    long lastIndex() {
+        return terms.isEmpty() ? snapshotIndex : Math.max(snapshotIndex, terms.lastKey());
+    }
+
+    /** Whether the log, and not only the snapshot, holds an entry. */
+    boolean holds(long index) {
+        return terms.containsKey(index);
+    }
+
+    /** Whether an entry, or else the snapshot that ends with it, has a term. */
+    boolean matches(long index, int term) {
+        Integer own = terms.get(index);
+        return own != null ? own == term : index == snapshotIndex && term == snapshotTerm;
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState endpoint) throws IOException {
+        store.persistAndFlushLocalEndpoint(endpoint);
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+        store.persistAndFlushInitialGroupMembers(members);
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState term) throws IOException {
+        store.persistAndFlushTerm(term);
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        store.persistLogEntries(entries);
+        entries.forEach(entry -> terms.put(entry.getIndex(), entry.getTerm()));
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+        store.persistSnapshotChunk(chunk);
+        if (chunk.getIndex() != partialIndex) {
+            partialIndex = chunk.getIndex();
+            partialChunks.clear();
+        }
+        partialChunks.add(chunk.getSnapshotChunkIndex());
+        if (partialChunks.size() == chunk.getSnapshotChunkCount() && partialIndex > snapshotIndex) {
+            snapshotIndex = partialIndex;
+            snapshotTerm = chunk.getTerm();
+        }
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        store.truncateLogEntriesFrom(index);
+        terms.tailMap(index, true).clear();
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        store.truncateLogEntriesUntil(index);
+        terms.headMap(index, true).clear();
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        store.deleteSnapshotChunks(index, count);
+    }
+
+    @Override
+    public void flush() throws IOException {
+        store.flush();
+    }
+}
--- a/src/main/java/clovermill/controlplane/consensus/RaftMember.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftMember.java
@@ -2,6 +2,7 @@
 
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
@@ -118,14 +119,36 @@
         return replica != null && replica.leads();
     }
 
-    /** Restarts from the storage a replica that follows a silent leader; see {@link RaftReplica#isStuck}. */
+    /**
+     * Restarts from the storage a replica that follows a silent leader (see {@link RaftReplica#isStuck}), or one whose
+     * entries conflict with the leader's where MicroRaft cannot remove them (see {@link RaftReplica#conflictIndex}).
+     */
     public void restartIfStuck(long nowMicros) {
-        if (replica != null && replica.isStuck(nowMicros)) {
+        if (replica == null) {
+            return;
+        }
+        boolean conflicts = replica.conflictIndex() != RaftReplica.NO_CONFLICT;
+        if (conflicts && !truncate(replica.conflictIndex())) {
+            return;
+        }
+        if (conflicts || replica.isStuck(nowMicros)) {
             replica.stop();
             startReplica(replica.self(), storage.restored());
         }
     }
 
+    /** Returns whether the storage holds no entries from an index on; if not, it has failed and is recovered first. */
+    private boolean truncate(long index) {
+        try {
+            storage.truncateLogEntriesFrom(index);
+            storage.flush();
+            return true;
+        } catch (IOException | UncheckedIOException failure) {
+            LOG.log(Level.DEBUG, "conflicting entries could not be removed; retried after a recovery", failure);
+            return false;
+        }
+    }
+
     /**
      * Suspends this member when its storage has failed, and resumes it when all state has been rewritten; to be called
      * at each tick. Returns when it is due next, or {@link Long#MAX_VALUE} while the storage works.
--- a/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
@@ -6,7 +6,10 @@
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
+import io.microraft.model.RaftModelFactory;
 import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.message.AppendEntriesFailureResponse;
+import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RaftStore;
@@ -29,6 +32,9 @@
  */
 public final class RaftReplica<M extends ReplicatedStateMachine> implements Transport {
 
+    /** No entries conflict with the leader's. */
+    public static final long NO_CONFLICT = 0;
+    private static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
     /** A replica that follows a leader without a message for so long is stuck. */
     private static final long STUCK_MICROS = 3_000_000;
 
@@ -41,7 +47,12 @@
     private final M machine;
     private final BiConsumer<ReplicaId, RaftMessage> send;
     private final boolean wasRestored;
+    private final LogTerms log;
     private long lastLeaderMessageMicros;
+    private long conflictIndex = NO_CONFLICT;
+    /** The last append that matched without MicroRaft's knowledge, and how far; null once it is answered. */
+    private AppendEntriesRequest matchedAppend;
+    private long matchedIndex;
 
     /**
      * A replica that is yet to be started.
@@ -54,9 +65,10 @@
         this.send = host.send;
         this.wasRestored = restored != null;
         this.machine = machine;
+        this.log = new LogTerms(host.store, restored);
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(host.group).setConfig(host.config)
                 .setExecutor(host.scheduler).setClock(host.scheduler).setRandom(host.random).setTransport(this)
-                .setStateMachine(machine).setStore(host.store);
+                .setStateMachine(machine).setStore(log);
         this.node = restored != null ? builder.setRestoredState(restored).build()
                 : builder.setLocalEndpoint(self).setInitialGroupMembers(List.copyOf(replicas)).build();
     }
@@ -97,8 +109,13 @@
         if (message.getSender().equals(node.getTerm().getLeaderEndpoint())) {
             lastLeaderMessageMicros = nowMicros;
         }
-        boolean higherTerm = message instanceof PreVoteResponse answer && isRejectedByHigherTerm(answer);
-        node.handle(higherTerm ? asVoteRequest(message) : message);
+        if (message instanceof PreVoteResponse answer && isRejectedByHigherTerm(answer)) {
+            node.handle(asVoteRequest(answer));
+        } else if (message instanceof AppendEntriesRequest append && append.getTerm() >= node.getTerm().getTerm()) {
+            handleAppend(append);
+        } else {
+            node.handle(message);
+        }
     }
 
     /**
@@ -117,11 +134,46 @@
      * term of a vote request; one with an empty log gets no vote from a replica that has entries.
      */
     private static RaftMessage asVoteRequest(RaftMessage answer) {
-        return new DefaultRaftModelFactory().createVoteRequestBuilder().setGroupId(answer.getGroupId())
+        return MODELS.createVoteRequestBuilder().setGroupId(answer.getGroupId())
                 .setSender(answer.getSender()).setTerm(answer.getTerm()).setLastLogTerm(0).setLastLogIndex(0)
                 .setSticky(false).build();
     }
 
+    private void handleAppend(AppendEntriesRequest append) {
+        AppendAlignment alignment = AppendAlignment.of(append, log, MODELS);
+        if (alignment instanceof AppendAlignment.Conflict conflict) {
+            conflictIndex = conflict.index();
+        } else if (alignment instanceof AppendAlignment.Forward forward) {
+            node.handle(forward.append());
+        } else if (alignment instanceof AppendAlignment.Matched matched) {
+            matchedAppend = append;
+            matchedIndex = matched.index();
+            node.handle(append); // adopts its term and leader; the failure that it answers is replaced
+        }
+    }
+
+    /** The answer to an append that matched, in place of MicroRaft's failure. */
+    private RaftMessage replaceFailure(AppendEntriesFailureResponse failure) {
+        boolean replaced = matchedAppend != null && failure.getTerm() == matchedAppend.getTerm()
+                && failure.getFlowControlSequenceNumber() == matchedAppend.getFlowControlSequenceNumber();
+        if (!replaced) {
+            return failure;
+        }
+        matchedAppend = null;
+        return MODELS.createAppendEntriesSuccessResponseBuilder().setGroupId(failure.getGroupId())
+                .setSender(failure.getSender()).setTerm(failure.getTerm()).setLastLogIndex(matchedIndex)
+                .setQuerySequenceNumber(failure.getQuerySequenceNumber())
+                .setFlowControlSequenceNumber(failure.getFlowControlSequenceNumber()).build();
+    }
+
+    /**
+     * The index from which this replica's entries conflict with the leader's, directly behind its snapshot, or {@link
+     * #NO_CONFLICT}. MicroRaft cannot remove them there: the owner truncates the storage and restores the replica.
+     */
+    public long conflictIndex() {
+        return conflictIndex;
+    }
+
     /** Whether this replica is the leader, as far as it knows. */
     public boolean leads() {
         return self.equals(node.getTerm().getLeaderEndpoint());
@@ -189,7 +241,8 @@
 
     @Override
     public void send(RaftEndpoint target, RaftMessage message) {
-        send.accept((ReplicaId) target, message);
+        send.accept((ReplicaId) target,
+                message instanceof AppendEntriesFailureResponse failure ? replaceFailure(failure) : message);
     }
 
     @Override
--- a/src/test/java/clovermill/controlplane/consensus/RaftReplicaTest.java
+++ b/src/test/java/clovermill/controlplane/consensus/RaftReplicaTest.java
@@ -206,6 +206,21 @@
         assertThat(matchedAfter(append(TERM, 1, 1, entry(2, 1)))).isEqualTo(3);
     }
 
+    @Test
+    void entriesDirectlyBehindTheSnapshotThatConflictAreToBeTruncated() {
+        startWithSnapshot();
+        receive(append(TERM, 3, 1, entry(4, 2)));
+        assertThat(replica.conflictIndex()).isEqualTo(4);
+    }
+
+    @Test
+    void anAppendOfAnEarlierTermDoesNotCount() {
+        startWithSnapshot();
+        receive(append(TERM, 0, 0));
+        receive(append(TERM - 1, 3, 1, entry(4, 2)));
+        assertThat(replica.conflictIndex()).isEqualTo(RaftReplica.NO_CONFLICT);
+    }
+
     /**
      * Seed 569: a process that had lost its disk was admitted under a new
      * identity and killed right after. Its disk had it as a learner still, beside a snapshot in which it votes, and
