Consensus: a new leader finds a replica's place in few round trips

Cause: MicroRaft goes back by one entry for each append that does not match, a round trip of some 35 ms each. Change: NextIndexSearch doubles the steps; RaftReplica gives MicroRaft as many failures as it steps back. Why it holds: a next index may always be lower than needed; a repeated failure counts once; a match begins anew.

--- a/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
@@ -10,6 +10,7 @@
 import io.microraft.model.impl.DefaultRaftModelFactory;
 import io.microraft.model.message.AppendEntriesFailureResponse;
 import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
 import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RaftStore;
@@ -47,6 +48,7 @@
     private final M machine;
     private final BiConsumer<ReplicaId, RaftMessage> send;
     private final boolean wasRestored;
+    private final NextIndexSearch nextIndexSearch = new NextIndexSearch();
     private final LogTerms log;
     private long lastLeaderMessageMicros;
     private long conflictIndex = NO_CONFLICT;
@@ -111,9 +113,14 @@
         }
         if (message instanceof PreVoteResponse answer && isRejectedByHigherTerm(answer)) {
             node.handle(asVoteRequest(answer));
+        } else if (message instanceof AppendEntriesFailureResponse failure) {
+            stepBack(failure);
         } else if (message instanceof AppendEntriesRequest append && append.getTerm() >= node.getTerm().getTerm()) {
             handleAppend(append);
         } else {
+            if (message instanceof AppendEntriesSuccessResponse) {
+                nextIndexSearch.matched(message.getSender());
+            }
             node.handle(message);
         }
     }
@@ -139,6 +146,22 @@
                 .setSticky(false).build();
     }
 
+    /**
+     * MicroRaft moves a follower's next index back by one for each failed append, so that a follower that lacks
+     * hundreds of entries is found after as many round trips (docs/incidents/slow-catch-up.md). It is given as many failures as the search steps back;
+     * each is valid, as a next index may always be lower than needed.
+     */
+    private void stepBack(AppendEntriesFailureResponse failure) {
+        long steps = nextIndexSearch.stepsBack(failure.getSender(), failure.getTerm(), failure.getExpectedNextIndex());
+        for (long step = 0; step < steps; step++) {
+            node.handle(MODELS.createAppendEntriesFailureResponseBuilder().setGroupId(failure.getGroupId())
+                    .setSender(failure.getSender()).setTerm(failure.getTerm())
+                    .setExpectedNextIndex(failure.getExpectedNextIndex() - step)
+                    .setQuerySequenceNumber(failure.getQuerySequenceNumber())
+                    .setFlowControlSequenceNumber(failure.getFlowControlSequenceNumber()).build());
+        }
+    }
+
     private void handleAppend(AppendEntriesRequest append) {
         AppendAlignment alignment = AppendAlignment.of(append, log, MODELS);
         if (alignment instanceof AppendAlignment.Conflict conflict) {
