Consensus: pre-votes of a former leader are no sign that it leads

Cause: the check for a stuck replica took each message of the last known leader as a sign of life, its pre-votes too. Measured: aFormerLeaderThatAsksForVotesIsASilentLeader fails without it; a leader that appends is never silent.

--- a/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
@@ -11,6 +11,7 @@
 import io.microraft.model.message.AppendEntriesFailureResponse;
 import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
 import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RaftStore;
@@ -108,7 +109,7 @@
 
     /** Handles a message of another replica. */
     public void handle(RaftMessage message, long nowMicros) {
-        if (message.getSender().equals(node.getTerm().getLeaderEndpoint())) {
+        if (isFromLeader(message)) {
             lastLeaderMessageMicros = nowMicros;
         }
         if (message instanceof PreVoteResponse answer && isRejectedByHigherTerm(answer)) {
@@ -125,6 +126,12 @@
         }
     }
 
+    /** A former leader that asks for votes is no leader that lives (docs/incidents/silent-leader.md). */
+    private boolean isFromLeader(RaftMessage message) {
+        return (message instanceof AppendEntriesRequest || message instanceof InstallSnapshotRequest)
+                && message.getSender().equals(node.getTerm().getLeaderEndpoint());
+    }
+
     /**
      * Whether a voter has a higher term than the one that its pre-vote was asked for, which is the present term plus
      * one. A response with just that term tells nothing of the voter's own: MicroRaft repeats the term of the request
