--- a/src/main/java/clovermill/controlplane/consensus/MemoryRaftStorage.java
+++ b/src/main/java/clovermill/controlplane/consensus/MemoryRaftStorage.java
@@ -43,8 +43,21 @@
         long from = snapshot == null ? 0 : snapshot.getIndex();
         RaftTermPersistentState lasting = term != null ? term : MODELS.createRaftTermPersistentStateBuilder()
                 .setTerm(0).setVotedFor(null).build();
-        return new RestoredRaftState(endpoint, members, lasting, snapshot, new ArrayList<>(entries.tailMap(from, false)
-                .values()));
+        return new RestoredRaftState(restoredEndpoint(snapshot), members, lasting, snapshot,
+                new ArrayList<>(entries.tailMap(from, false).values()));
+    }
+
+    /**
+     * MicroRaft 0.7 persists a learner's promotion when it applies it, so a crash may leave a learner beside a snapshot
+     * in which it votes. Restoring these two together it ends with a NullPointerException, at each start: the snapshot
+     * is the later of them (docs/incidents/learner-cannot-start.md).
+     */
+    private RaftEndpointPersistentState restoredEndpoint(SnapshotEntry snapshot) {
+        boolean promoted = snapshot != null
+                && snapshot.getGroupMembersView().getVotingMembers().contains(endpoint.getLocalEndpoint());
+        return endpoint.isVoting() || !promoted ? endpoint
+                : MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(endpoint.getLocalEndpoint())
+                        .setVoting(true).build();
     }
 
     /** Writes the complete state to another storage. */
