--- a/src/main/java/clovermill/controlplane/eventlog/EventLogReplica.java
+++ b/src/main/java/clovermill/controlplane/eventlog/EventLogReplica.java
@@ -23,6 +23,9 @@
     /** Raft entries in one message; most hold one event, and all must fit a UDP datagram. */
     private static final int APPEND_BATCH_ENTRIES = 16;
 
+    /** Entries committed in one round trip between replicas: 100 a second, a round trip of 0.1 s. */
+    private static final int ENTRIES_PER_ROUND_TRIP = 10;
+
     private final EventLogTask.Membership membership;
     private final EventLogTask.ReplicaLimits limits;
     private final RaftStorage storage;
@@ -48,7 +51,7 @@
         this.nowUs = nowUs;
         this.scheduler = new RaftScheduler(nowUs);
         RaftConfig config = RaftReplica.config().setAppendEntriesRequestBatchSize(APPEND_BATCH_ENTRIES)
-                .setCommitCountToTakeSnapshot(limits.snapshotEvery()).build();
+                .setCommitCountToTakeSnapshot(snapshotInterval(membership, limits)).build();
         RaftReplica.Host host = new RaftReplica.Host(EventOperationCodec.GROUP, config, storage, scheduler, random,
                 (to, message) -> send(to.node(), new Packet.RaftPacket(to.disk(), message)));
         RaftMember.Membership members =
@@ -59,6 +62,16 @@
         member.restore();
     }
 
+    /**
+     * Raft entries between two snapshots: at least as many as are committed while one is transferred, a chunk for each
+     * round trip. A transfer begins anew with each newer snapshot, so with fewer it would never end
+     * (docs/incidents/snapshot-chase.md).
+     */
+    private static int snapshotInterval(EventLogTask.Membership membership, EventLogTask.ReplicaLimits limits) {
+        return Math.max(limits.snapshotEvery(),
+                ENTRIES_PER_ROUND_TRIP * EventLogStateMachine.maxChunks(limits.log(), membership.members()));
+    }
+
     private final class JoinOutbox implements RaftMember.JoinTransport {
         @Override
         public void sendJoinRequest(int to, long disk, boolean empty) {
--- a/src/main/java/clovermill/controlplane/eventlog/EventLogStateMachine.java
+++ b/src/main/java/clovermill/controlplane/eventlog/EventLogStateMachine.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
 
 /**
  * The log as Raft's replicated state machine: the same operations in the same order give the same log on each replica.
@@ -62,8 +63,11 @@
     /** A chunk with some sessions. */
     record SnapshotSessions(List<EventLog.Session> sessions) {}
 
-    /** Entries or sessions in one chunk, so that it fits a datagram with the longest details too. */
-    private static final int CHUNK_SIZE = 14;
+    /** Bytes of entries or sessions in one chunk, so that it fits a datagram that is not fragmented. */
+    static final int CHUNK_BYTES = 1100;
+    /** The most bytes of a sequence number in a chunk. */
+    private static final int MAX_VARINT_BYTES = 10;
+    private static final int SESSION_BYTES = 3 * Long.BYTES;
 
     private final EventLog log;
     private final LongSupplier logIds;
@@ -93,16 +97,39 @@
     @Override
     public void takeSnapshot(long commitIndex, Consumer<Object> chunks) {
         chunks.accept(new SnapshotHead(log.state()));
-        forEachChunk(log.entries(), some -> chunks.accept(new SnapshotEntries(some)));
-        forEachChunk(log.openSessions(), some -> chunks.accept(new SnapshotSessions(some)));
+        forEachChunk(log.entries(), each -> MAX_VARINT_BYTES + each.event().bytes(),
+                some -> chunks.accept(new SnapshotEntries(some)));
+        forEachChunk(log.openSessions(), each -> SESSION_BYTES, some -> chunks.accept(new SnapshotSessions(some)));
     }
 
-    private static <T> void forEachChunk(List<T> all, Consumer<List<T>> chunk) {
-        for (int from = 0; from < all.size(); from += CHUNK_SIZE) {
-            chunk.accept(List.copyOf(all.subList(from, Math.min(all.size(), from + CHUNK_SIZE))));
+    private static <T> void forEachChunk(List<T> all, ToIntFunction<T> bytesOf, Consumer<List<T>> chunk) {
+        int from = 0;
+        int bytes = 0;
+        for (int i = 0; i < all.size(); i++) {
+            int next = bytesOf.applyAsInt(all.get(i));
+            if (bytes + next > CHUNK_BYTES) {
+                chunk.accept(List.copyOf(all.subList(from, i)));
+                from = i;
+                bytes = 0;
+            }
+            bytes += next;
+        }
+        if (from < all.size()) {
+            chunk.accept(List.copyOf(all.subList(from, all.size())));
         }
     }
 
+    /** The most chunks of a snapshot of a log within bounds, if so many clients have a session. */
+    static int maxChunks(EventLog.Bounds bounds, int clients) {
+        long entryBytes = bounds.retentionBytes() + bounds.retentionBytes() / Event.FIXED_BYTES * MAX_VARINT_BYTES;
+        long sessionBytes = (long) Math.min(clients, bounds.maxSessions()) * SESSION_BYTES;
+        return 1 + (int) (divideUp(entryBytes, CHUNK_BYTES) + divideUp(sessionBytes, CHUNK_BYTES));
+    }
+
+    private static long divideUp(long dividend, int divisor) {
+        return (dividend + divisor - 1) / divisor;
+    }
+
     @Override
     public void installSnapshot(long commitIndex, List<Object> chunks) {
         applied = true;
