Event log: a director keeps batches that overtake each other

Cause: Follower threw away what came behind a gap; sent again in bursts of two batches and more, these overtook each other and were thrown away again: one batch a second arrived. Change: up to 16 ranges behind a gap are kept and applied when it is filled. Why it holds: a range covers its positions whenever it was read; positions only grow, so each event is applied once.

--- a/src/main/java/clovermill/controlplane/eventlog/decide/Follower.java
+++ b/src/main/java/clovermill/controlplane/eventlog/decide/Follower.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.TreeMap;
 
 /**
  * A director's position in the log: follows one replica, applies each range once and in order, and fails over to
@@ -20,6 +21,9 @@
     /** Counters since the start: events applied, gaps, events repeated, failovers, truncated prefixes applied. */
     public record Counts(long applied, long gaps, long repeated, long failovers, long truncations) {}
 
+    /** Early ranges kept, a little over a window of full batches; past them the latest is dropped and sent again. */
+    private static final int MAX_EARLY_RANGES = 16;
+
     private final EventLogTiming timing;
     private final long incarnation;
     /** The replicas in the order of failover, the home replica first; drawn for each director. */
@@ -30,6 +34,11 @@
     private long requestId;
     private long logId;
     private long position;
+    /**
+     * Ranges that overtook one before them, by their first position. Thrown away, they would all be sent again at once,
+     * and overtake each other again (docs/incidents/overtaken-batches.md).
+     */
+    private final TreeMap<Long, LogRange> earlyRanges = new TreeMap<>();
     private long lastResponseUs;
     private long followedSinceUs;
     private long nextRequestUs;
@@ -110,14 +119,31 @@
         }
         logId = id;
         position = 0;
+        earlyRanges.clear();
     }
 
+    /** Applies a range, and then those that it makes contiguous; keeps it where one before it has yet to come. */
     private void applyRange(LogRange range, List<Delivery> deliveries) {
         if (range.from() > position) {
             gaps++;
+            keepEarly(range);
             acknowledgementDue = true; // the replica sends again from the position acknowledged
             return;
         }
+        applyContiguous(range, deliveries);
+        while (!earlyRanges.isEmpty() && earlyRanges.firstKey() <= position) {
+            applyContiguous(earlyRanges.pollFirstEntry().getValue(), deliveries);
+        }
+    }
+
+    private void keepEarly(LogRange range) {
+        earlyRanges.merge(range.from(), range, (one, other) -> one.to() >= other.to() ? one : other);
+        if (earlyRanges.size() > MAX_EARLY_RANGES) {
+            earlyRanges.pollLastEntry();
+        }
+    }
+
+    private void applyContiguous(LogRange range, List<Delivery> deliveries) {
         if (range.to() <= position) {
             repeated += range.entries().size();
             acknowledgementDue |= range.to() > range.from();
