--- a/src/test/java/clovermill/controlplane/eventlog/EventLogFleetTest.java
+++ b/src/test/java/clovermill/controlplane/eventlog/EventLogFleetTest.java
@@ -68,6 +68,15 @@
         holdAll(26, 45, 123, 125);
     }
 
+    /**
+     * In each of these, four of 1,000, all links lose 40% and delay by up to 0.2 s each way while no leader lives; an
+     * election takes two round trips to two others, and none succeeds for 7 s. See KNOWN-RED.txt.
+     */
+    @Test
+    void seedsWithLateEventsOverLinksThatLoseTwoInFive() {
+        holdAll(88, 475, 534, 793);
+    }
+
     private static void holdAll(long... seeds) {
         for (long seed : seeds) {
             FleetMetrics figures = EventLogFleet.play(new Scenario(SMALL, 100, RATE, 2), seed);
