--- a/src/main/java/clovermill/controlplane/consensus/AppendAlignment.java
+++ b/src/main/java/clovermill/controlplane/consensus/AppendAlignment.java
@@ -6,52 +6,56 @@
 import java.util.List;
 
 /**
- * What a follower does with an append whose previous entry its snapshot has replaced. MicroRaft 0.7 compares previous
- * entries with its log only, and so rejects for ever an append that begins at or before the snapshot, while entries
- * follow the snapshot (docs/incidents/append-at-snapshot.md). Whatever a snapshot covers is committed, and so equal in
- * the leader's log: such an append may begin at a later entry.
+ * What a follower does with an append that begins before its last entry. Whatever is committed is equal in the leader's
+ * log, so such an append may begin at the commit index. MicroRaft 0.7 needs that in two cases: it asserts that no append
+ * begins before the commit index, and it compares previous entries with its log only, so that it rejects for ever an
+ * append that begins at its snapshot, while entries follow the snapshot (docs/incidents/append-at-snapshot.md).
  */
 sealed interface AppendAlignment {
 
     /** It is handed over, maybe without the entries that the follower has. */
     record Forward(AppendEntriesRequest append) implements AppendAlignment {}
 
-    /** The logs are equal up to an index, and the append has nothing behind it. */
-    record Matched(long index) implements AppendAlignment {}
+    /** The logs are equal up to its previous entry, which MicroRaft does not find, and it has no entries. */
+    record Matched(AppendEntriesRequest append) implements AppendAlignment {}
 
     /** The follower's entries from an index on conflict with the leader's, and have to go. */
     record Conflict(long index) implements AppendAlignment {}
 
-    /** Decides for an append of a leader whose term is the follower's or a higher one. */
-    static AppendAlignment of(AppendEntriesRequest append, LogTerms log, RaftModelFactory models) {
-        long previous = append.getPreviousLogIndex();
-        long snapshot = log.snapshotIndex();
-        boolean comparable = log.holds(previous) || previous == log.lastIndex();
-        if (previous > snapshot || snapshot == LogTerms.NO_SNAPSHOT || comparable) {
-            return new Forward(append);
+    /**
+     * Decides for an append of a leader whose term is the follower's or a higher one.
+     *
+     * @param commitIndex the follower's; at or behind its snapshot
+     */
+    static AppendAlignment of(AppendEntriesRequest append, LogTerms log, long commitIndex, RaftModelFactory models) {
+        AppendEntriesRequest aligned = append.getPreviousLogIndex() >= commitIndex ? append
+                : from(append, commitIndex, log.term(commitIndex), models);
+        long previous = aligned.getPreviousLogIndex();
+        boolean comparable = previous == 0 || log.holds(previous) || previous >= log.lastIndex();
+        if (comparable || previous > commitIndex) {
+            return new Forward(aligned);
         }
-        List<LogEntry> entries = append.getLogEntries();
+        List<LogEntry> entries = aligned.getLogEntries();
         int held = 0;
-        while (held < entries.size() && isHeld(entries.get(held), log)) {
+        while (held < entries.size() && log.matches(entries.get(held).getIndex(), entries.get(held).getTerm())) {
             held++;
         }
-        LogEntry lastHeld = held == 0 ? null : entries.get(held - 1);
-        if (lastHeld != null && (log.holds(lastHeld.getIndex()) || lastHeld.getIndex() == log.lastIndex())) {
-            return new Forward(from(append, lastHeld, entries.subList(held, entries.size()), models));
+        if (held > 0) {
+            LogEntry last = entries.get(held - 1);
+            return new Forward(from(aligned, last.getIndex(), last.getTerm(), models));
         }
-        return held < entries.size() ? new Conflict(entries.get(held).getIndex()) : new Matched(snapshot);
+        return entries.isEmpty() ? new Matched(aligned) : new Conflict(entries.get(0).getIndex());
     }
 
-    private static boolean isHeld(LogEntry entry, LogTerms log) {
-        return entry.getIndex() <= log.snapshotIndex() || log.matches(entry.getIndex(), entry.getTerm());
-    }
-
-    private static AppendEntriesRequest from(AppendEntriesRequest append, LogEntry previous, List<LogEntry> rest,
+    /** The part of an append behind an entry that the follower has. */
+    private static AppendEntriesRequest from(AppendEntriesRequest append, long previousIndex, int previousTerm,
             RaftModelFactory models) {
+        List<LogEntry> rest =
+                append.getLogEntries().stream().filter(entry -> entry.getIndex() > previousIndex).toList();
         return models.createAppendEntriesRequestBuilder().setGroupId(append.getGroupId()).setSender(append.getSender())
-                .setTerm(append.getTerm()).setPreviousLogTerm(previous.getTerm())
-                .setPreviousLogIndex(previous.getIndex()).setCommitIndex(append.getCommitIndex())
-                .setLogEntries(List.copyOf(rest)).setQuerySequenceNumber(append.getQuerySequenceNumber())
+                .setTerm(append.getTerm()).setPreviousLogTerm(previousTerm).setPreviousLogIndex(previousIndex)
+                .setCommitIndex(append.getCommitIndex()).setLogEntries(rest)
+                .setQuerySequenceNumber(append.getQuerySequenceNumber())
                 .setFlowControlSequenceNumber(append.getFlowControlSequenceNumber()).build();
     }
 }
--- a/src/main/java/clovermill/controlplane/consensus/LogTerms.java
+++ b/src/main/java/clovermill/controlplane/consensus/LogTerms.java
@@ -21,7 +21,7 @@
 final class LogTerms implements RaftStore {
 
     /** The index of a log without a snapshot. */
-    static final long NO_SNAPSHOT = 0;
+    private static final long NO_SNAPSHOT = 0;
 
     private final RaftStore store;
     /** One for each entry behind the snapshot, and for a few before it: as many as MicroRaft's log holds. */
@@ -49,11 +49,6 @@
         restored.getLogEntries().forEach(entry -> terms.put(entry.getIndex(), entry.getTerm()));
     }
 
-    /** The index of the last entry that the snapshot covers, or {@link #NO_SNAPSHOT}. */
-    long snapshotIndex() {
-        return snapshotIndex;
-    }
-
     /** The index of the last entry, or that of the snapshot where the log holds none. */
     long lastIndex() {
         return terms.isEmpty() ? snapshotIndex : Math.max(snapshotIndex, terms.lastKey());
@@ -64,10 +59,14 @@
         return terms.containsKey(index);
     }
 
-    /** Whether an entry, or else the snapshot that ends with it, has a term. */
+    /** Whether the log holds an entry of an index and term. */
     boolean matches(long index, int term) {
-        Integer own = terms.get(index);
-        return own != null ? own == term : index == snapshotIndex && term == snapshotTerm;
+        return holds(index) && terms.get(index) == term;
+    }
+
+    /** The term of an entry, or of the snapshot that ends with it; 0 for one that is not known. */
+    int term(long index) {
+        return terms.getOrDefault(index, index == snapshotIndex ? snapshotTerm : 0);
     }
 
     @Override
--- a/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
@@ -53,9 +53,8 @@
     private final LogTerms log;
     private long lastLeaderMessageMicros;
     private long conflictIndex = NO_CONFLICT;
-    /** The last append that matched without MicroRaft's knowledge, and how far; null once it is answered. */
+    /** The last append that matched without MicroRaft's knowledge; null once it is answered. */
     private AppendEntriesRequest matchedAppend;
-    private long matchedIndex;
 
     /**
      * A replica that is yet to be started.
@@ -169,16 +168,28 @@
         }
     }
 
+    /** Appends behind the last entry, all but few, are handed over; the others are aligned with the commit index. */
     private void handleAppend(AppendEntriesRequest append) {
-        AppendAlignment alignment = AppendAlignment.of(append, log, MODELS);
+        if (append.getPreviousLogIndex() >= log.lastIndex()) {
+            node.handle(append);
+            return;
+        }
+        node.getReport().whenComplete((report, failure) -> {
+            if (failure == null) {
+                align(append, report.getResult().getLog().getCommitIndex());
+            }
+        });
+    }
+
+    private void align(AppendEntriesRequest append, long commitIndex) {
+        AppendAlignment alignment = AppendAlignment.of(append, log, commitIndex, MODELS);
         if (alignment instanceof AppendAlignment.Conflict conflict) {
             conflictIndex = conflict.index();
         } else if (alignment instanceof AppendAlignment.Forward forward) {
             node.handle(forward.append());
         } else if (alignment instanceof AppendAlignment.Matched matched) {
-            matchedAppend = append;
-            matchedIndex = matched.index();
-            node.handle(append); // adopts its term and leader; the failure that it answers is replaced
+            matchedAppend = matched.append();
+            node.handle(matchedAppend); // adopts its term and leader; the failure that it answers is replaced
         }
     }
 
@@ -189,6 +200,7 @@
         if (!replaced) {
             return failure;
         }
+        long matchedIndex = matchedAppend.getPreviousLogIndex();
         matchedAppend = null;
         return MODELS.createAppendEntriesSuccessResponseBuilder().setGroupId(failure.getGroupId())
                 .setSender(failure.getSender()).setTerm(failure.getTerm()).setLastLogIndex(matchedIndex)
--- a/src/test/java/clovermill/controlplane/consensus/RaftReplicaTest.java
+++ b/src/test/java/clovermill/controlplane/consensus/RaftReplicaTest.java
@@ -206,6 +206,20 @@
         assertThat(matchedAfter(append(TERM, 1, 1, entry(2, 1)))).isEqualTo(3);
     }
 
+    /** Seen as an assertion of MicroRaft's in {@code MembershipChangeTest}; without assertions it goes on. */
+    @Test
+    void anAppendThatBeginsBeforeTheCommitIndexIsAppliedBehindIt() {
+        start();
+        matchedAfter(append(TERM, 0, 0, entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)));
+        receive(MODELS.createAppendEntriesRequestBuilder().setGroupId(GROUP).setSender(OTHER).setTerm(TERM)
+                .setPreviousLogIndex(4).setPreviousLogTerm(1).setCommitIndex(3).setLogEntries(List.of())
+                .setQuerySequenceNumber(0).setFlowControlSequenceNumber(1000).build());
+        assertThat(replica.machine().texts()).containsExactly("t1", "t2", "t3");
+        assertThat(matchedAfter(append(TERM, 1, 1))).isEqualTo(3);
+        assertThat(matchedAfter(append(TERM, 1, 1, entry(2, 1), entry(3, 1), entry(4, 2)))).isEqualTo(4);
+        assertThat(disk.restored().getLogEntries()).extracting(LogEntry::getTerm).containsExactly(1, 1, 1, 2);
+    }
+
     @Test
     void entriesDirectlyBehindTheSnapshotThatConflictAreToBeTruncated() {
         startWithSnapshot();
