Consensus: answers to an earlier life of a process no longer let it begin a group

Cause: RaftMember took each join answer for one to its present question. "No group" from before the group, late, let a process that had lost its disk come back under the identity with which it had voted. Change: the question carries a nonce of this life in place of the disk's number; answers to others are ignored. Why it holds: peers of every version send that field back; within one life the process has not voted.

--- a/src/main/java/clovermill/controlplane/consensus/RaftMember.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftMember.java
@@ -25,7 +25,7 @@
 
     /** Sends the messages of processes that join; any may be lost. */
     public interface JoinTransport {
-        /** Requests admission of a new disk; or, if {@code empty}, asks whether a group exists. */
+        /** Requests admission of a new disk; or, if {@code empty}, asks whether a group exists; disk is a nonce then. */
         void sendJoinRequest(int to, long disk, boolean empty);
 
         /** Answers whether the sender has a group, and whether the requester's disk votes in it. */
@@ -51,7 +51,9 @@
     private final Supplier<M> stateMachines;
     private final Consumer<RaftReplica<M>> onReplicaCreated;
     private final JoinTransport joinTransport;
-    /** Whether each other process has a group, as far as they have answered. */
+    /** Takes the place of a disk's number in join requests without a replica, and comes back in their answers. */
+    private final long joinNonce;
+    /** Whether each other process has a group, as far as they have answered this life of the process. */
     private final Map<Integer, Boolean> groups = new HashMap<>();
     private RaftReplica<M> replica;
     /**
@@ -79,6 +81,7 @@
         this.stateMachines = stateMachines;
         this.onReplicaCreated = onReplicaCreated;
         this.joinTransport = joinTransport;
+        this.joinNonce = host.random().nextLong();
     }
 
     /** State that could not be written must not be acknowledged, not even by a later message. */
@@ -189,7 +192,7 @@
         }
         if (nowMicros >= nextJoinMicros) {
             nextJoinMicros = nowMicros + membership.joinRetryMicros();
-            long disk = replica == null ? 0 : replica.self().disk();
+            long disk = replica == null ? joinNonce : replica.self().disk();
             membership.nodes().stream().filter(each -> each != membership.self())
                     .forEach(each -> joinTransport.sendJoinRequest(each, disk, replica == null));
             bootstrapIfAllEmpty();
@@ -229,15 +232,23 @@
             return;
         }
         if (replica == null) {
-            groups.put(from, hasGroup);
-            if (hasGroup) {
-                joinUnderNewIdentity();
-            }
+            groupAnswered(from, disk, hasGroup);
         } else if (isVoter && disk == replica.self().disk()) {
             admitted = true;
         }
     }
 
+    /** An answer to an earlier life of this process tells nothing: a group may have begun since, and this one voted. */
+    private void groupAnswered(int from, long nonce, boolean hasGroup) {
+        if (nonce != joinNonce) {
+            return;
+        }
+        groups.put(from, hasGroup);
+        if (hasGroup) {
+            joinUnderNewIdentity();
+        }
+    }
+
     /** The former votes are lost: it starts as a learner, and votes under a new identity only. */
     private void joinUnderNewIdentity() {
         try {
--- a/src/test/java/clovermill/controlplane/consensus/RaftGroup.java
+++ b/src/test/java/clovermill/controlplane/consensus/RaftGroup.java
@@ -34,11 +34,15 @@
 
     record JoinResponse(int from, long disk, boolean hasGroup, boolean isVoter) implements Signal {}
 
+    private record Delivery(int to, JoinResponse response) {}
+
     private final World<Signal> world;
     private final int snapshotEvery;
     private final List<Integer> nodes;
     private final List<MemoryRaftStorage> disks = new ArrayList<>();
     private final List<RaftMember<Journal>> members = new ArrayList<>();
+    /** All answers to join requests so far. */
+    private final List<Delivery> joinResponses = new ArrayList<>();
     private Predicate<Envelope> dropped = envelope -> false;
     private Consumer<Envelope> sent = envelope -> {};
 
@@ -111,6 +115,13 @@
         return members.get(node).replica() == null ? List.of() : members.get(node).replica().machine().texts();
     }
 
+    /** A process, its leader and whether it votes, for the message of a failed assertion. */
+    String describe(int node) {
+        RaftMember<Journal> member = members.get(node);
+        return node + " follows " + (member.replica() == null ? "none" : member.replica().leader()) + " votes "
+                + member.votes() + " " + disks.get(node).restored();
+    }
+
     /** Appends a text at a process; {@code done} gets the log index, or null if its fate is unknown. */
     void append(int node, String text, Consumer<Object> done) {
         world.at(world.nowUs(), () -> members.get(node).replica().replicate(text, done));
@@ -135,6 +146,15 @@
         sent = observer;
     }
 
+    /** Delivers all answers to a process's join requests once more, the latest first, cut off or not. */
+    void repeatJoinResponses(int to) {
+        for (int i = joinResponses.size() - 1; i >= 0; i--) {
+            if (joinResponses.get(i).to() == to) {
+                world.machine(to).hand(joinResponses.get(i).response());
+            }
+        }
+    }
+
     /** Cuts or restores both ways between two sets of processes. */
     void cut(List<Integer> one, List<Integer> other, boolean off) {
         for (int a : one) {
@@ -204,7 +224,9 @@
 
             @Override
             public void sendJoinResponse(int to, long disk, boolean hasGroup, boolean isVoter) {
-                world.send(node, to, new JoinResponse(node, disk, hasGroup, isVoter));
+                JoinResponse response = new JoinResponse(node, disk, hasGroup, isVoter);
+                joinResponses.add(new Delivery(to, response));
+                world.send(node, to, response);
             }
         }
 
--- a/src/test/java/clovermill/controlplane/consensus/RaftGroupTest.java
+++ b/src/test/java/clovermill/controlplane/consensus/RaftGroupTest.java
@@ -114,4 +114,37 @@
         group.runFor(10 * SECOND_MICROS);
         assertThat(group.texts(former)).hasSize(committed + 1).endsWith("b").isEqualTo(group.texts(leader));
     }
+
+    /**
+     * Found by reading, made to happen here: answers to a process's first start ("no group exists") arrive after it has
+     * voted, lost its disk and started again. It took itself for one of a group yet to begin, under the identity with
+     * which it had voted, and so could vote twice in one term.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void answersToAnEarlierLifeBeginNoGroup(int processes) {
+        RaftGroup group = RaftGroup.started(processes, NEVER, 5);
+        int leader = group.leader();
+        group.appendMany(leader, 5);
+        for (int lost : others(processes, leader).subList(0, 2)) { // one after the other
+            List<Integer> rest = others(processes, lost);
+            group.kill(lost);
+            group.loseDisk(lost);
+            group.cut(List.of(lost), rest, true);
+            group.start(lost);
+            group.runFor(SECOND_MICROS);
+            group.repeatJoinResponses(lost);
+            group.runFor(SECOND_MICROS);
+            assertThat(group.member(lost).replica()).isNull();
+            group.cut(List.of(lost), rest, false);
+            group.runUntil(all -> all.member(lost).votes(), 20 * SECOND_MICROS);
+            assertThat(group.member(lost).replica().self().disk()).isNotZero();
+            assertThat(group.member(lost).votes()).isTrue();
+        }
+        group.append(leader, "after", result -> {});
+        group.runFor(2 * SECOND_MICROS);
+        for (int each = 0; each < processes; each++) {
+            assertThat(group.texts(each)).hasSize(6).endsWith("after");
+        }
+    }
 }
