Ledger test: a copy that stands for a kill is made at one moment; a kill at any step loses nothing

Seen: aProcessThatIsKilledAfterAFailedSyncHadLostAPageLosesNothing failed beside load, NoSuchFileException in its copy. Cause: the folder was walked and copied while the writer created and deleted segments. Change: FaultyVolume.atOneMoment holds the writer's operations off meanwhile; the checks stay. The product's side is a test of its own: killed before each of 60 operations after a failed sync, recovered, all records are there.

--- a/src/test/java/clovermill/ledger/LedgerTest.java
+++ b/src/test/java/clovermill/ledger/LedgerTest.java
@@ -21,12 +21,15 @@
 import clovermill.storage.FolderLock;
 import clovermill.storage.Volume;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -38,6 +41,8 @@
 class LedgerTest {
 
     private static final long HOUR = 3_600_000;
+    /** Operations of the writer, some ten for each try to write anew. */
+    private static final int KILLED_STEPS = 60;
     private static final Ledger.Director DIRECTOR = new Ledger.Director("n1", List.of("page", "order"), 1, 2, 4);
 
     @TempDir
@@ -253,8 +258,10 @@
         loseAPage(ledger);
         Path stage = folder.resolve("clovermill-" + ledgerFolder().identity().folder() + ".stage");
         Path killed = folder.resolve("killed");
-        copy(folder.resolve("l"), killed);
-        Files.copy(stage, folder.resolve("kept"));
+        disk.atOneMoment(() -> { // the writer goes on creating and deleting segments
+            copy(folder.resolve("l"), killed);
+            Files.copy(stage, folder.resolve("kept"));
+        });
         disk.syncFails = false;
         ledger.close();
         LedgerFolder after = new LedgerFolder(killed);
@@ -263,6 +270,41 @@
         assertThat(sum(after).get(Totals.Sum.BYTES)).isEqualTo(20_000);
     }
 
+    /** A process killed before each of the operations by which the writer tries to write anew after a failed sync. */
+    @Test
+    void aProcessThatIsKilledAtAnyStepAfterAFailedSyncLosesNothing() throws Exception {
+        Ledger ledger = open();
+        disk.syncFailsAfterLoss = true;
+        Path stage = folder.resolve("clovermill-" + ledgerFolder().identity().folder() + ".stage");
+        AtomicInteger steps = new AtomicInteger();
+        disk.beforeEach = () -> {
+            if (disk.losesAtBytes == Long.MAX_VALUE && disk.syncFails && steps.get() < KILLED_STEPS) {
+                copyKilled(stage, steps.get());
+                steps.incrementAndGet();
+            }
+        };
+        loseAPage(ledger);
+        until(() -> steps.get() == KILLED_STEPS);
+        disk.beforeEach = () -> {};
+        disk.syncFails = false;
+        ledger.close();
+        for (int step = 0; step < KILLED_STEPS; step++) {
+            LedgerFolder after = new LedgerFolder(folder.resolve("killed" + step));
+            Files.copy(folder.resolve("kept" + step), stage, StandardCopyOption.REPLACE_EXISTING);
+            StagingRecovery.run(after, after.identity(), stage, disk);
+            assertThat(sum(after).get(Totals.Sum.BYTES)).as("step %s", step).isEqualTo(20_000);
+        }
+    }
+
+    private void copyKilled(Path stage, int step) {
+        try {
+            copy(folder.resolve("l"), folder.resolve("killed" + step));
+            Files.copy(stage, folder.resolve("kept" + step));
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     /** A start that cannot write down what was staged leaves it staged, and no segment that a next start believes. */
     @Test
     void aRescueOnADiskThatFailsIsTriedAgainByTheNextStart() throws Exception {
--- a/src/test/java/clovermill/storage/FaultyVolume.java
+++ b/src/test/java/clovermill/storage/FaultyVolume.java
@@ -5,6 +5,8 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.concurrent.locks.ReadWriteLock;
+import java.util.concurrent.locks.ReentrantReadWriteLock;
 
 /** A disk with faults that tests switch on and off; may be switched from another thread than it is used on. */
 public final class FaultyVolume implements Volume {
@@ -29,10 +31,43 @@
     public volatile long syncMs;
     /** How often a sync has succeeded. */
     public volatile int syncs;
+    /** Runs before each operation, on its thread: what files hold then is what a kill at that moment leaves. */
+    public volatile Runnable beforeEach = () -> {};
+    /** Held shared by each operation, and alone by who wants the files to stand still. */
+    private final ReadWriteLock moment = new ReentrantReadWriteLock();
+
+    /** An operation on files. */
+    @FunctionalInterface
+    public interface Operation {
+        /** Runs it. */
+        void run() throws IOException;
+    }
+
+    /** Runs something at one moment: no operation on this disk is under way, and none begins before its end. */
+    public void atOneMoment(Operation operation) throws IOException {
+        moment.writeLock().lock();
+        try {
+            operation.run();
+        } finally {
+            moment.writeLock().unlock();
+        }
+    }
+
+    private void operate(Operation operation) throws IOException {
+        beforeEach.run();
+        moment.readLock().lock();
+        try {
+            operation.run();
+        } finally {
+            moment.readLock().unlock();
+        }
+    }
 
     @Override
     public Output create(Path file) throws IOException {
-        Output output = real.create(file);
+        Output[] created = new Output[1];
+        operate(() -> created[0] = real.create(file));
+        Output output = created[0];
         return new Output() {
             private long written;
             private long synced;
@@ -50,6 +85,10 @@
 
             @Override
             public void write(ByteBuffer bytes) throws IOException {
+                operate(() -> writeWhatFits(bytes));
+            }
+
+            private void writeWhatFits(ByteBuffer bytes) throws IOException {
                 int fits = (int) Math.min(room, bytes.remaining());
                 boolean whole = fits == bytes.remaining();
                 output.write(bytes.slice(bytes.position(), fits));
@@ -70,6 +109,10 @@
                         throw new IOException(stopped);
                     }
                 }
+                operate(this::sync);
+            }
+
+            private void sync() throws IOException {
                 boolean fails = syncFails || syncsThatFail > 0;
                 syncsThatFail = Math.max(0, syncsThatFail - 1);
                 if (fails) {
@@ -83,12 +126,12 @@
 
             @Override
             public void truncate(long size) throws IOException {
-                output.truncate(size);
+                operate(() -> output.truncate(size));
             }
 
             @Override
             public void close() throws IOException {
-                output.close();
+                operate(output::close);
             }
         };
     }
@@ -98,7 +141,7 @@
         if (content.length > room) {
             throw new IOException("No space left on device");
         }
-        real.replace(file, content);
+        operate(() -> real.replace(file, content));
     }
 
     @Override
@@ -106,11 +149,11 @@
         if (syncFails) {
             throw new IOException("Input/output error");
         }
-        real.rename(from, to);
+        operate(() -> real.rename(from, to));
     }
 
     @Override
     public void delete(Path file) throws IOException {
-        real.delete(file);
+        operate(() -> real.delete(file));
     }
 }
