Accord proof: faults go on, and heal, while a change waits

Seen: AccordProofTest failed once: changes=4 settled=3 blocks=1 mixed=0, 72 s. Cause: faults that leave no majority (one voter of three killed, another muted) were not followed by any other while no process answered or a change was pending, so the change waited its whole 60 s. Change: a further fault each second whatever the change waits for.

--- a/src/test/java/clovermill/prove/AccordProof.java
+++ b/src/test/java/clovermill/prove/AccordProof.java
@@ -24,6 +24,7 @@
 
     private static final long LEASE_MS = 1500;
     private static final long ASK_MS = 150;
+    private static final long FAULT_INTERVAL_NS = 1_000_000_000;
     private static final double DRIFT = 0.01;
     private static final int PER_DIRECTOR = 60;
 
@@ -37,6 +38,7 @@
     private final List<Long> commitMs = new ArrayList<>();
     private int changes;
     private int settled;
+    private long lastFaultNs;
     private int faults;
     private long loads;
     private CacheFleet caches;
@@ -135,6 +137,7 @@
         long untilNs = System.nanoTime() + 60_000_000_000L;
         changes++;
         while (System.nanoTime() < untilNs) {
+            faultIfDue(amongFaults);
             int at = random.nextInt(count);
             JsonNode now = shown(at);
             if (now == null || now.has("next")) {
@@ -154,17 +157,26 @@
                         commitMs.add((System.nanoTime() - fromNs) / 1_000_000);
                         return;
                     }
-                    if (amongFaults && looks % 100 == 99) {
-                        fault();
-                    }
+                    faultIfDue(amongFaults);
                     Thread.sleep(10);
                 }
             }
         }
     }
 
+    /**
+     * A change among faults has a further one each second, whatever it waits for: the fault before may have left no
+     * majority, and only a further one ends it (docs/incidents/accord-proof-without-majority.md).
+     */
+    private void faultIfDue(boolean amongFaults) throws Exception {
+        if (amongFaults && System.nanoTime() - lastFaultNs > FAULT_INTERVAL_NS) {
+            fault();
+        }
+    }
+
     private void fault() throws Exception {
         faults++;
+        lastFaultNs = System.nanoTime();
         int which = random.nextInt(count);
         switch (random.nextInt(9)) {
             case 0, 1 -> {
