Membership changes: groups of seven and other cuts are forced too; none decides twice

Need: groups of seven voters go through six, and a cut may leave the leader with another voter. Change: the leader is cut off with the new process, with another voter, with both; groups of 3, 4, 5 and 7: 864 cases.

--- a/src/test/java/clovermill/controlplane/consensus/MembershipChangeTest.java
+++ b/src/test/java/clovermill/controlplane/consensus/MembershipChangeTest.java
@@ -20,8 +20,8 @@
  * of one member: its former identity is removed, the new one added as a learner and promoted, so a group of four goes
  * through three, and one of five through four. MicroRaft commits with half of an even group; if that held for the change
  * itself, {A, new} could commit in the group of four while {B, C} elect and commit in the group of three that they know.
- * Here the leader and the new process are cut from the rest at each message around each change, texts are appended on
- * both sides, and after the cut all journals have to be equal and to hold each text that was acknowledged.
+ * Here the leader and some others are cut from the rest at each message around each change, texts are appended on both
+ * sides, and after the cut all journals have to be equal and to hold each text that was acknowledged.
  */
 class MembershipChangeTest {
 
@@ -65,7 +65,22 @@
         }
     }
 
-    private static Outcome play(int processes, int change, int messages, Random random) {
+    /** Who is cut off with the leader. */
+    private enum Side {
+        THE_NEW_PROCESS, ONE_VOTER, THE_NEW_PROCESS_AND_ONE_VOTER;
+
+        private List<Integer> members(int leader, int lost, int processes) {
+            int voter = IntStream.range(0, processes).filter(each -> each != leader && each != lost).findFirst()
+                    .orElseThrow();
+            return switch (this) {
+                case THE_NEW_PROCESS -> List.of(leader, lost);
+                case ONE_VOTER -> List.of(leader, voter);
+                case THE_NEW_PROCESS_AND_ONE_VOTER -> List.of(leader, lost, voter);
+            };
+        }
+    }
+
+    private static Outcome play(int processes, int change, int messages, Side with, Random random) {
         RaftGroup group = RaftGroup.started(processes, NEVER, random.nextLong());
         int leader = group.leader();
         int lost = IntStream.range(0, processes).filter(each -> each != leader).skip(random.nextInt(processes - 1))
@@ -73,7 +88,7 @@
         group.appendMany(leader, 3);
         group.kill(lost);
         group.loseDisk(lost);
-        List<Integer> side = new ArrayList<>(List.of(leader, lost));
+        List<Integer> side = with.members(leader, lost, processes);
         List<Integer> rest = new ArrayList<>(IntStream.range(0, processes).boxed().toList());
         rest.removeAll(side);
         Cutter cutter = new Cutter(group, side, rest, change, messages);
@@ -112,12 +127,15 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"3, 1", "3, 2", "3, 3", "4, 1", "4, 2", "4, 3", "5, 1", "5, 2", "5, 3"})
+    @CsvSource({"3, 1", "3, 2", "3, 3", "4, 1", "4, 2", "4, 3", "5, 1", "5, 2", "5, 3", "7, 1", "7, 2", "7, 3"})
     void aGroupThatIsCutAtAnyMessageAroundAChangeDecidesOnce(int processes, int change) {
-        for (int messages = 0; messages < 24; messages++) {
-            Outcome outcome = play(processes, change, messages, new Random(messages));
-            assertDecidedOnce(outcome, processes + " processes, change " + change + ", message " + messages);
-            assertThat(outcome.cut).isTrue();
+        for (Side side : Side.values()) {
+            for (int messages = 0; messages < 24; messages++) {
+                Outcome outcome = play(processes, change, messages, side, new Random(messages));
+                assertDecidedOnce(outcome,
+                        processes + " processes, change " + change + ", message " + messages + ", " + side);
+                assertThat(outcome.cut).isTrue();
+            }
         }
     }
 
@@ -128,8 +146,9 @@
         int both = 0;
         for (long seed = Long.parseLong(args[0]); seed < Long.parseLong(args[1]); seed++) {
             Random random = new Random(seed);
-            int processes = 3 + random.nextInt(3);
-            Outcome outcome = play(processes, 1 + random.nextInt(CHANGES), random.nextInt(80), random);
+            int processes = 3 + random.nextInt(5);
+            Side side = Side.values()[random.nextInt(Side.values().length)];
+            Outcome outcome = play(processes, 1 + random.nextInt(CHANGES), random.nextInt(80), side, random);
             cuts += outcome.cut ? 1 : 0;
             both += outcome.acknowledged.size() > 1 ? 1 : 0;
             try {
