--- a/src/test/java/clovermill/controlplane/consensus/MembershipChangeTest.java
+++ b/src/test/java/clovermill/controlplane/consensus/MembershipChangeTest.java
@@ -2,6 +2,7 @@
 
 import static clovermill.controlplane.consensus.RaftGroup.SECOND_MICROS;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import clovermill.controlplane.consensus.RaftGroup.Envelope;
 import io.microraft.model.groupop.UpdateRaftGroupMembersOp;
@@ -12,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -139,6 +141,15 @@
         }
     }
 
+    /** The judge itself: two journals that differ, and an acknowledged text that none holds. */
+    @Test
+    void aGroupThatDecidesTwiceOrForgetsIsCaught() {
+        Outcome twice = new Outcome(true, List.of(), List.of(List.of("here"), List.of("there")), List.of());
+        assertThatThrownBy(() -> assertDecidedOnce(twice, "two decisions")).isInstanceOf(AssertionError.class);
+        Outcome forgotten = new Outcome(true, List.of("here"), List.of(List.of("there")), List.of());
+        assertThatThrownBy(() -> assertDecidedOnce(forgotten, "lost")).isInstanceOf(AssertionError.class);
+    }
+
     /** Seeds from, to: random groups, changes and moments; one line a violation. */
     public static void main(String[] args) {
         int broken = 0;
