--- a/src/main/java/clovermill/controlplane/consensus/AppendAlignment.java
+++ b/src/main/java/clovermill/controlplane/consensus/AppendAlignment.java
@@ -7,9 +7,9 @@
 
 /**
  * What a follower does with an append that begins before its last entry. Whatever is committed is equal in the leader's
- * log, so such an append may begin at the commit index. MicroRaft 0.7 needs that in two cases: it asserts that no append
- * begins before the commit index, and it compares previous entries with its log only, so that it rejects for ever an
- * append that begins at its snapshot, while entries follow the snapshot (docs/incidents/append-at-snapshot.md).
+ * log, so such an append may begin at the commit index. MicroRaft 0.7 needs that in two cases: it asserts that no
+ * append begins before the commit index, and it compares previous entries with its log only, so that it rejects for
+ * ever an append that begins at its snapshot, while entries follow the snapshot (docs/incidents/append-at-snapshot.md).
  */
 sealed interface AppendAlignment {
 
--- a/src/main/java/clovermill/controlplane/consensus/RaftMember.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftMember.java
@@ -25,7 +25,9 @@
 
     /** Sends the messages of processes that join; any may be lost. */
     public interface JoinTransport {
-        /** Requests admission of a new disk; or, if {@code empty}, asks whether a group exists; disk is a nonce then. */
+        /**
+         * Requests admission of a new disk; or, if {@code empty}, asks whether a group exists: disk is a nonce then.
+         */
         void sendJoinRequest(int to, long disk, boolean empty);
 
         /** Answers whether the sender has a group, and whether the requester's disk votes in it. */
--- a/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
@@ -50,11 +50,8 @@
     private final BiConsumer<ReplicaId, RaftMessage> send;
     private final boolean wasRestored;
     private final NextIndexSearch nextIndexSearch = new NextIndexSearch();
-    private final LogTerms log;
+    private final AppendReceiver appends;
     private long lastLeaderMessageMicros;
-    private long conflictIndex = NO_CONFLICT;
-    /** The last append that matched without MicroRaft's knowledge; null once it is answered. */
-    private AppendEntriesRequest matchedAppend;
 
     /**
      * A replica that is yet to be started.
@@ -67,12 +64,13 @@
         this.send = host.send;
         this.wasRestored = restored != null;
         this.machine = machine;
-        this.log = new LogTerms(host.store, restored);
+        LogTerms log = new LogTerms(host.store, restored);
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(host.group).setConfig(host.config)
                 .setExecutor(host.scheduler).setClock(host.scheduler).setRandom(host.random).setTransport(this)
                 .setStateMachine(machine).setStore(log);
         this.node = restored != null ? builder.setRestoredState(restored).build()
                 : builder.setLocalEndpoint(self).setInitialGroupMembers(List.copyOf(replicas)).build();
+        this.appends = new AppendReceiver(node, log);
     }
 
     /**
@@ -116,7 +114,7 @@
         } else if (message instanceof AppendEntriesFailureResponse failure) {
             stepBack(failure);
         } else if (message instanceof AppendEntriesRequest append && append.getTerm() >= node.getTerm().getTerm()) {
-            handleAppend(append);
+            appends.receive(append);
         } else {
             if (message instanceof AppendEntriesSuccessResponse) {
                 nextIndexSearch.matched(message.getSender());
@@ -154,8 +152,8 @@
 
     /**
      * MicroRaft moves a follower's next index back by one for each failed append, so that a follower that lacks
-     * hundreds of entries is found after as many round trips (docs/incidents/slow-catch-up.md). It is given as many failures as the search steps back;
-     * each is valid, as a next index may always be lower than needed.
+     * hundreds of entries is found after as many round trips (docs/incidents/slow-catch-up.md). It is given as many
+     * failures as the search steps back; each is valid, as a next index may always be lower than needed.
      */
     private void stepBack(AppendEntriesFailureResponse failure) {
         long steps = nextIndexSearch.stepsBack(failure.getSender(), failure.getTerm(), failure.getExpectedNextIndex());
@@ -168,52 +166,12 @@
         }
     }
 
-    /** Appends behind the last entry, all but few, are handed over; the others are aligned with the commit index. */
-    private void handleAppend(AppendEntriesRequest append) {
-        if (append.getPreviousLogIndex() >= log.lastIndex()) {
-            node.handle(append);
-            return;
-        }
-        node.getReport().whenComplete((report, failure) -> {
-            if (failure == null) {
-                align(append, report.getResult().getLog().getCommitIndex());
-            }
-        });
-    }
-
-    private void align(AppendEntriesRequest append, long commitIndex) {
-        AppendAlignment alignment = AppendAlignment.of(append, log, commitIndex, MODELS);
-        if (alignment instanceof AppendAlignment.Conflict conflict) {
-            conflictIndex = conflict.index();
-        } else if (alignment instanceof AppendAlignment.Forward forward) {
-            node.handle(forward.append());
-        } else if (alignment instanceof AppendAlignment.Matched matched) {
-            matchedAppend = matched.append();
-            node.handle(matchedAppend); // adopts its term and leader; the failure that it answers is replaced
-        }
-    }
-
-    /** The answer to an append that matched, in place of MicroRaft's failure. */
-    private RaftMessage replaceFailure(AppendEntriesFailureResponse failure) {
-        boolean replaced = matchedAppend != null && failure.getTerm() == matchedAppend.getTerm()
-                && failure.getFlowControlSequenceNumber() == matchedAppend.getFlowControlSequenceNumber();
-        if (!replaced) {
-            return failure;
-        }
-        long matchedIndex = matchedAppend.getPreviousLogIndex();
-        matchedAppend = null;
-        return MODELS.createAppendEntriesSuccessResponseBuilder().setGroupId(failure.getGroupId())
-                .setSender(failure.getSender()).setTerm(failure.getTerm()).setLastLogIndex(matchedIndex)
-                .setQuerySequenceNumber(failure.getQuerySequenceNumber())
-                .setFlowControlSequenceNumber(failure.getFlowControlSequenceNumber()).build();
-    }
-
     /**
      * The index from which this replica's entries conflict with the leader's, directly behind its snapshot, or {@link
      * #NO_CONFLICT}. MicroRaft cannot remove them there: the owner truncates the storage and restores the replica.
      */
     public long conflictIndex() {
-        return conflictIndex;
+        return appends.conflictIndex();
     }
 
     /** Whether this replica is the leader, as far as it knows. */
@@ -284,7 +242,7 @@
     @Override
     public void send(RaftEndpoint target, RaftMessage message) {
         send.accept((ReplicaId) target,
-                message instanceof AppendEntriesFailureResponse failure ? replaceFailure(failure) : message);
+                message instanceof AppendEntriesFailureResponse failure ? appends.answer(failure) : message);
     }
 
     @Override
--- a/src/main/java/clovermill/controlplane/eventlog/decide/ReplicaFeed.java
+++ b/src/main/java/clovermill/controlplane/eventlog/decide/ReplicaFeed.java
@@ -116,7 +116,8 @@
     /**
      * This replica proved that every event acknowledged before {@code startUs} has at most the number {@code head}.
      * Followers are told once its own log has reached that head (the wait of ReadIndex, step 4): a replica that cannot
-     * deliver what it proves would keep its followers, unproven, for as long as it is behind (docs/incidents/proof-without-events.md).
+     * deliver what it proves would keep its followers, unproven, for as long as it is behind
+     * (docs/incidents/proof-without-events.md).
      */
     public void proven(long head, long startUs) {
         pendingProofs.addLast(new HeadProof(head, startUs));
--- a/src/main/java/clovermill/simulation/emulator/eventlog/ReachableQuorum.java
+++ b/src/main/java/clovermill/simulation/emulator/eventlog/ReachableQuorum.java
@@ -6,8 +6,8 @@
 /**
  * Whether a machine reaches a part of the replicas that can elect a leader whatever their logs hold: three voters, a
  * quorum of four, of which each reaches each other. A voter that reaches two others who do not reach each other is not
- * enough: Raft elects only who has a log as new as its voters', and the one in the middle may have an older one (seed 29
- * of the proof: 0-3-2, replica 1 down, logs to 85, 81 and 85).
+ * enough: Raft elects only who has a log as new as its voters', and the one in the middle may have an older one (seed
+ * 29 of the proof: 0-3-2, replica 1 down, logs to 85, 81 and 85).
  */
 final class ReachableQuorum {
 
--- a/src/test/java/clovermill/controlplane/consensus/MembershipChangeTest.java
+++ b/src/test/java/clovermill/controlplane/consensus/MembershipChangeTest.java
@@ -20,10 +20,10 @@
 /**
  * Whether a group can decide twice while its members change. A process that lost its disk is replaced in three changes
  * of one member: its former identity is removed, the new one added as a learner and promoted, so a group of four goes
- * through three, and one of five through four. MicroRaft commits with half of an even group; if that held for the change
- * itself, {A, new} could commit in the group of four while {B, C} elect and commit in the group of three that they know.
- * Here the leader and some others are cut from the rest at each message around each change, texts are appended on both
- * sides, and after the cut all journals have to be equal and to hold each text that was acknowledged.
+ * through three, and one of five through four. MicroRaft commits with half of an even group; if that held for the
+ * change itself, {A, new} could commit in the group of four while {B, C} elect and commit in the group of three that
+ * they know. Here the leader and some others are cut from the rest at each message around each change, texts are
+ * appended on both sides, and after the cut all journals have to be equal and to hold each text that was acknowledged.
  */
 class MembershipChangeTest {
 
--- a/src/test/java/clovermill/controlplane/eventlog/EventLogFleetTest.java
+++ b/src/test/java/clovermill/controlplane/eventlog/EventLogFleetTest.java
@@ -271,8 +271,9 @@
 
     /**
      * Eleven times the rate of the target. Directors 2, 6 and 7 were unproven from 13 s on: the replica that they
-     * followed stood at event 222 of 564, passed on proofs of the leader's head all the same, and so was not left. Shown
-     * by "222/552" (its log, its proof) beside directors at position 222 (docs/incidents/proof-without-events.md).
+     * followed stood at event 222 of 564, passed on proofs of the leader's head all the same, and so was not left.
+     * Shown by "222/552" (its log, its proof) beside directors at position 222
+     * (docs/incidents/proof-without-events.md).
      */
     @Test
     void aFullQueueToASlowDirectorHoldsUpNobodyAtAHundredEventsASecond() {
@@ -318,8 +319,8 @@
 
     /**
      * Two of the four replicas stood at events 222 and 339 from 8 s on while 3,000 more came. A snapshot was taken each
-     * 60 Raft entries, 0.6 s; its transfer, a chunk of 14 entries each round trip, took 1.3 s (27 chunks, 45 ms each) and
-     * began anew with each newer snapshot.
+     * 60 Raft entries, 0.6 s; its transfer, a chunk of 14 entries each round trip, took 1.3 s (27 chunks, 45 ms each)
+     * and began anew with each newer snapshot.
      */
     @Test
     void aReplicaThatLostADatagramCatchesUpAtAHundredEventsASecond() {
--- a/src/test/java/clovermill/controlplane/eventlog/decide/FollowerTest.java
+++ b/src/test/java/clovermill/controlplane/eventlog/decide/FollowerTest.java
@@ -83,9 +83,9 @@
     }
 
     /**
-     * A hundred events a second, fleet seed 17: a director lost one datagram and was unproven for 7.5 s. What came behind
-     * the gap was thrown away, so the replica sent it all again after 0.75 s, two or more batches at once; where one of
-     * these overtook the other, it was thrown away too: 52 events each second were applied of 100 that came.
+     * A hundred events a second, fleet seed 17: a director lost one datagram and was unproven for 7.5 s. What came
+     * behind the gap was thrown away, so the replica sent it all again after 0.75 s, two or more batches at once; where
+     * one of these overtook the other, it was thrown away too: 52 events each second were applied of 100 that came.
      */
     @Test
     void batchesThatOvertakeEachOtherAreAllApplied() {
