Outages: an older mark no longer undoes a later call at the other process

Seen by operators: after "disable" answered 503 at one process and "enable" 200 at the other the cache went out again. Cause: OutageFolder.retryPending wrote its pending mark whatever had been recorded since. Change: a pending mark keeps what the folder held when it failed; if that has changed, the mark is dropped with a line in the log. Why it holds: in the folder the last call that was recorded stands; only the moment between a failed try and the look behind it (microseconds) is left.

--- a/src/main/java/clovermill/controlplane/outage/OutageFolder.java
+++ b/src/main/java/clovermill/controlplane/outage/OutageFolder.java
@@ -18,14 +18,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 
 /**
  * Outages recorded in a folder that the processes of one director share.
  *
- * <p>A cache that is out has an empty file {@code out-ID}; one that came back has a file {@code back-ID} with the stamp
- * of its return. A file is written before the call is answered, and depends on no other file, so that processes need no
- * lock. The folder is in memory and a read that finds no change costs one system call, so both are done on the loop.
+ * <p>A cache that is out has a file {@code out-ID}, whose content tells one outage from another; one that came back
+ * has a file {@code back-ID} with the stamp of its return. A file is written before the call is answered, and depends
+ * on no other file, so that processes need no lock. The folder is in memory and a read that finds no change costs one
+ * system call, so both are done on the loop.
  */
 public final class OutageFolder implements OutageMarks {
 
@@ -42,11 +44,20 @@
     /** A mark that is not in the folder: an outage, or a return with its stamp. */
     private record PendingMark(boolean out, long stampUnixMillis) {}
 
+    /** What the folder holds of a cache: the content of its two files, empty for one that does not exist. */
+    private record RecordedMarks(Optional<String> outage, Optional<String> back) {}
+
+    /** A pending mark, and what the folder held after it failed to be written; empty where that could not be read. */
+    private record Pending(PendingMark mark, Optional<RecordedMarks> found) {}
+
     private final Path folder;
     private final LongSupplier monotonicMicros;
     /** Marks that could not be written: in force in this process, and written again until that succeeds. */
-    private final Map<String, PendingMark> pending = new LinkedHashMap<>();
+    private final Map<String, Pending> pending = new LinkedHashMap<>();
     private long retryAtMicros;
+    /** A random number for this process; with the outages that it has written, the content of an outage's file. */
+    private final long writer = ThreadLocalRandom.current().nextLong();
+    private long outagesWritten;
     /** The folder's time at the last read, compared for equality alone; null where it is to be read in any case. */
     private FileTime folderTime;
     private long folderTimeFoundMicros;
@@ -89,32 +100,63 @@
 
     /**
      * Writes the pending marks again, unless the last failure is less than {@link #RETRY_INTERVAL_MICROS} ago. To be
-     * called a few times a second, whether or not another process exists: a later start reads the folder, too.
+     * called a few times a second, whether or not another process exists: a later start reads the folder, too. A mark
+     * is dropped where another process has recorded one of the same cache since: that is the later call
+     * (docs/incidents/outage-undone.md).
      */
     public void retryPending() {
         if (pending.isEmpty() || monotonicMicros.getAsLong() < retryAtMicros) {
             return;
         }
-        for (Map.Entry<String, PendingMark> mark : List.copyOf(pending.entrySet())) {
-            if (!record(mark.getKey(), mark.getValue())) {
+        for (Map.Entry<String, Pending> each : List.copyOf(pending.entrySet())) {
+            String id = each.getKey();
+            if (isSuperseded(id, each.getValue())) {
+                pending.remove(id);
+                LOG.log(Level.INFO, "the outage mark of {0} is dropped: another process has recorded a later one", id);
+            } else if (recordOrKeep(id, each.getValue().mark)) {
+                LOG.log(Level.INFO, "the outage mark of {0} is recorded in the shared folder", id);
+            } else {
                 return;
             }
-            pending.remove(mark.getKey());
-            LOG.log(Level.INFO, "the outage mark of {0} is recorded in the shared folder", mark.getKey());
         }
     }
 
-    private void recordOrKeep(String id, PendingMark mark) {
-        pending.remove(id);
-        if (!record(id, mark)) {
-            pending.put(id, mark);
+    private boolean isSuperseded(String id, Pending each) {
+        Optional<RecordedMarks> now = recordedMarks(id);
+        return each.found.isPresent() && now.isPresent() && !each.found.equals(now);
+    }
+
+    private Optional<RecordedMarks> recordedMarks(String id) {
+        try {
+            return Optional.of(new RecordedMarks(content(OUT_PREFIX, id), content(BACK_PREFIX, id)));
+        } catch (IOException failure) {
+            logReadFailure(failure);
+            return Optional.empty();
         }
     }
 
+    private Optional<String> content(String prefix, String id) throws IOException {
+        try {
+            return Optional.of(Files.readString(file(prefix, id)));
+        } catch (NoSuchFileException none) {
+            return Optional.empty();
+        }
+    }
+
+    private boolean recordOrKeep(String id, PendingMark mark) {
+        boolean recorded = record(id, mark);
+        if (recorded) {
+            pending.remove(id);
+        } else {
+            pending.put(id, new Pending(mark, recordedMarks(id)));
+        }
+        return recorded;
+    }
+
     private boolean record(String id, PendingMark mark) {
         boolean recorded;
         if (mark.out) {
-            recorded = write(OUT_PREFIX, id, "");
+            recorded = write(OUT_PREFIX, id, writer + " " + ++outagesWritten);
         } else {
             boolean stamped = writeReturn(id, mark.stampUnixMillis);
             // A full folder still lets the mark of the outage be deleted.
@@ -180,12 +222,12 @@
                 }
             }
         }
-        pending.forEach((id, mark) -> {
-            if (mark.out) {
+        pending.forEach((id, each) -> {
+            if (each.mark.out) {
                 out.add(id);
             } else {
                 out.remove(id);
-                back.put(id, mark.stampUnixMillis);
+                back.put(id, each.mark.stampUnixMillis);
             }
         });
         return new OutageSnapshot(out, back);
--- a/src/test/java/clovermill/controlplane/outage/OutageFolderTest.java
+++ b/src/test/java/clovermill/controlplane/outage/OutageFolderTest.java
@@ -123,8 +123,9 @@
 
     /**
      * During a handover an operator's "disable" is answered 503 at one process, as the folder cannot be written, and
-     * "enable" then 200 at the other. The first process goes on to write its older mark, and when it succeeds the cache
-     * is out again at both, and after a kill, against the last call that was answered 200. See KNOWN-RED.txt.
+     * "enable" then 200 at the other. The first process wrote its older mark as soon as it could, so that the cache was
+     * out again at both, and after a kill, against the last call that was answered 200
+     * (docs/incidents/outage-undone.md).
      */
     @Test
     void aReturnRecordedByTheOtherProcessIsNotUndoneByAnOlderOutageThatWasPending() throws Exception {
