--- a/src/main/java/clovermill/controlplane/consensus/RaftMember.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftMember.java
@@ -2,6 +2,7 @@
 
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
@@ -24,7 +25,7 @@
 
     /** Sends the messages of processes that join; any may be lost. */
     public interface JoinTransport {
-        /** Requests admission of a new disk; or, if {@code empty}, asks whether a group exists. */
+        /** Requests admission of a new disk; or, if {@code empty}, asks whether a group exists; disk is a nonce then. */
         void sendJoinRequest(int to, long disk, boolean empty);
 
         /** Answers whether the sender has a group, and whether the requester's disk votes in it. */
@@ -50,10 +51,17 @@
     private final Supplier<M> stateMachines;
     private final Consumer<RaftReplica<M>> onReplicaCreated;
     private final JoinTransport joinTransport;
-    /** Whether each other process has a group, as far as they have answered. */
+    /** Takes the place of a disk's number in join requests without a replica, and comes back in their answers. */
+    private final long joinNonce;
+    /** Whether each other process has a group, as far as they have answered this life of the process. */
     private final Map<Integer, Boolean> groups = new HashMap<>();
     private RaftReplica<M> replica;
-    private boolean admitted = true;
+    /**
+     * Whether the replica is known to be a voter: one of the initial members is, a later identity once a process has
+     * said so in this life. Its storage does not tell: a process may have been killed between its new identity and its
+     * admission, and has to ask on (docs/incidents/admission-forgotten.md).
+     */
+    private boolean admitted;
     private long nextJoinMicros;
     private boolean suspended;
     private long nextRecoverMicros;
@@ -73,6 +81,7 @@
         this.stateMachines = stateMachines;
         this.onReplicaCreated = onReplicaCreated;
         this.joinTransport = joinTransport;
+        this.joinNonce = host.random().nextLong();
     }
 
     /** State that could not be written must not be acknowledged, not even by a later message. */
@@ -93,6 +102,7 @@
     private void startReplica(ReplicaId self, RestoredRaftState restored) {
         List<ReplicaId> replicas = membership.nodes().stream().map(node -> new ReplicaId(node, 0)).toList();
         replica = new RaftReplica<>(self, replicas, restored, stateMachines.get(), host);
+        admitted = self.disk() == 0;
         onReplicaCreated.accept(replica);
         replica.start();
     }
@@ -112,14 +122,36 @@
         return replica != null && replica.leads();
     }
 
-    /** Restarts from the storage a replica that follows a silent leader; see {@link RaftReplica#isStuck}. */
+    /**
+     * Restarts from the storage a replica that follows a silent leader (see {@link RaftReplica#isStuck}), or one whose
+     * entries conflict with the leader's where MicroRaft cannot remove them (see {@link RaftReplica#conflictIndex}).
+     */
     public void restartIfStuck(long nowMicros) {
-        if (replica != null && replica.isStuck(nowMicros)) {
+        if (replica == null) {
+            return;
+        }
+        boolean conflicts = replica.conflictIndex() != RaftReplica.NO_CONFLICT;
+        if (conflicts && !truncate(replica.conflictIndex())) {
+            return;
+        }
+        if (conflicts || replica.isStuck(nowMicros)) {
             replica.stop();
             startReplica(replica.self(), storage.restored());
         }
     }
 
+    /** Returns whether the storage holds no entries from an index on; if not, it has failed and is recovered first. */
+    private boolean truncate(long index) {
+        try {
+            storage.truncateLogEntriesFrom(index);
+            storage.flush();
+            return true;
+        } catch (IOException | UncheckedIOException failure) {
+            LOG.log(Level.DEBUG, "conflicting entries could not be removed; retried after a recovery", failure);
+            return false;
+        }
+    }
+
     /**
      * Suspends this member when its storage has failed, and resumes it when all state has been rewritten; to be called
      * at each tick. Returns when it is due next, or {@link Long#MAX_VALUE} while the storage works.
@@ -160,7 +192,7 @@
         }
         if (nowMicros >= nextJoinMicros) {
             nextJoinMicros = nowMicros + membership.joinRetryMicros();
-            long disk = replica == null ? 0 : replica.self().disk();
+            long disk = replica == null ? joinNonce : replica.self().disk();
             membership.nodes().stream().filter(each -> each != membership.self())
                     .forEach(each -> joinTransport.sendJoinRequest(each, disk, replica == null));
             bootstrapIfAllEmpty();
@@ -200,15 +232,23 @@
             return;
         }
         if (replica == null) {
-            groups.put(from, hasGroup);
-            if (hasGroup) {
-                joinUnderNewIdentity();
-            }
+            groupAnswered(from, disk, hasGroup);
         } else if (isVoter && disk == replica.self().disk()) {
             admitted = true;
         }
     }
 
+    /** An answer to an earlier life of this process tells nothing: a group may have begun since, and this one voted. */
+    private void groupAnswered(int from, long nonce, boolean hasGroup) {
+        if (nonce != joinNonce) {
+            return;
+        }
+        groups.put(from, hasGroup);
+        if (hasGroup) {
+            joinUnderNewIdentity();
+        }
+    }
+
     /** The former votes are lost: it starts as a learner, and votes under a new identity only. */
     private void joinUnderNewIdentity() {
         try {
@@ -218,7 +258,6 @@
             return;
         }
         startReplica(new ReplicaId(membership.self(), host.random().nextLong() >>> 1 | 1), null);
-        admitted = false;
     }
 
     /** Stops the replica. */
--- a/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
+++ b/src/main/java/clovermill/controlplane/consensus/RaftReplica.java
@@ -6,7 +6,12 @@
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
+import io.microraft.model.RaftModelFactory;
 import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.message.AppendEntriesFailureResponse;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
 import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RaftStore;
@@ -29,6 +34,9 @@
  */
 public final class RaftReplica<M extends ReplicatedStateMachine> implements Transport {
 
+    /** No entries conflict with the leader's. */
+    public static final long NO_CONFLICT = 0;
+    private static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
     /** A replica that follows a leader without a message for so long is stuck. */
     private static final long STUCK_MICROS = 3_000_000;
 
@@ -41,7 +49,12 @@
     private final M machine;
     private final BiConsumer<ReplicaId, RaftMessage> send;
     private final boolean wasRestored;
+    private final NextIndexSearch nextIndexSearch = new NextIndexSearch();
+    private final LogTerms log;
     private long lastLeaderMessageMicros;
+    private long conflictIndex = NO_CONFLICT;
+    /** The last append that matched without MicroRaft's knowledge; null once it is answered. */
+    private AppendEntriesRequest matchedAppend;
 
     /**
      * A replica that is yet to be started.
@@ -54,9 +67,10 @@
         this.send = host.send;
         this.wasRestored = restored != null;
         this.machine = machine;
+        this.log = new LogTerms(host.store, restored);
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(host.group).setConfig(host.config)
                 .setExecutor(host.scheduler).setClock(host.scheduler).setRandom(host.random).setTransport(this)
-                .setStateMachine(machine).setStore(host.store);
+                .setStateMachine(machine).setStore(log);
         this.node = restored != null ? builder.setRestoredState(restored).build()
                 : builder.setLocalEndpoint(self).setInitialGroupMembers(List.copyOf(replicas)).build();
     }
@@ -94,12 +108,37 @@
 
     /** Handles a message of another replica. */
     public void handle(RaftMessage message, long nowMicros) {
-        if (message.getSender().equals(node.getTerm().getLeaderEndpoint())) {
+        if (isFromLeader(message)) {
             lastLeaderMessageMicros = nowMicros;
         }
-        boolean higherTerm = message instanceof PreVoteResponse answer && !answer.isGranted()
-                && message.getTerm() > node.getTerm().getTerm();
-        node.handle(higherTerm ? asVoteRequest(message) : message);
+        if (message instanceof PreVoteResponse answer && isRejectedByHigherTerm(answer)) {
+            node.handle(asVoteRequest(answer));
+        } else if (message instanceof AppendEntriesFailureResponse failure) {
+            stepBack(failure);
+        } else if (message instanceof AppendEntriesRequest append && append.getTerm() >= node.getTerm().getTerm()) {
+            handleAppend(append);
+        } else {
+            if (message instanceof AppendEntriesSuccessResponse) {
+                nextIndexSearch.matched(message.getSender());
+            }
+            node.handle(message);
+        }
+    }
+
+    /** A former leader that asks for votes is no leader that lives (docs/incidents/silent-leader.md). */
+    private boolean isFromLeader(RaftMessage message) {
+        return (message instanceof AppendEntriesRequest || message instanceof InstallSnapshotRequest)
+                && message.getSender().equals(node.getTerm().getLeaderEndpoint());
+    }
+
+    /**
+     * Whether a voter has a higher term than the one that its pre-vote was asked for, which is the present term plus
+     * one. A response with just that term tells nothing of the voter's own: MicroRaft repeats the term of the request
+     * where it rejects the candidate's log. Adopting it would raise the term at each pre-vote, and so depose each new
+     * leader within a heartbeat (docs/incidents/election-livelock.md).
+     */
+    private boolean isRejectedByHigherTerm(PreVoteResponse answer) {
+        return !answer.isGranted() && answer.getTerm() > node.getTerm().getTerm() + 1;
     }
 
     /**
@@ -108,11 +147,75 @@
      * term of a vote request; one with an empty log gets no vote from a replica that has entries.
      */
     private static RaftMessage asVoteRequest(RaftMessage answer) {
-        return new DefaultRaftModelFactory().createVoteRequestBuilder().setGroupId(answer.getGroupId())
+        return MODELS.createVoteRequestBuilder().setGroupId(answer.getGroupId())
                 .setSender(answer.getSender()).setTerm(answer.getTerm()).setLastLogTerm(0).setLastLogIndex(0)
                 .setSticky(false).build();
     }
 
+    /**
+     * MicroRaft moves a follower's next index back by one for each failed append, so that a follower that lacks
+     * hundreds of entries is found after as many round trips (docs/incidents/slow-catch-up.md). It is given as many failures as the search steps back;
+     * each is valid, as a next index may always be lower than needed.
+     */
+    private void stepBack(AppendEntriesFailureResponse failure) {
+        long steps = nextIndexSearch.stepsBack(failure.getSender(), failure.getTerm(), failure.getExpectedNextIndex());
+        for (long step = 0; step < steps; step++) {
+            node.handle(MODELS.createAppendEntriesFailureResponseBuilder().setGroupId(failure.getGroupId())
+                    .setSender(failure.getSender()).setTerm(failure.getTerm())
+                    .setExpectedNextIndex(failure.getExpectedNextIndex() - step)
+                    .setQuerySequenceNumber(failure.getQuerySequenceNumber())
+                    .setFlowControlSequenceNumber(failure.getFlowControlSequenceNumber()).build());
+        }
+    }
+
+    /** Appends behind the last entry, all but few, are handed over; the others are aligned with the commit index. */
+    private void handleAppend(AppendEntriesRequest append) {
+        if (append.getPreviousLogIndex() >= log.lastIndex()) {
+            node.handle(append);
+            return;
+        }
+        node.getReport().whenComplete((report, failure) -> {
+            if (failure == null) {
+                align(append, report.getResult().getLog().getCommitIndex());
+            }
+        });
+    }
+
+    private void align(AppendEntriesRequest append, long commitIndex) {
+        AppendAlignment alignment = AppendAlignment.of(append, log, commitIndex, MODELS);
+        if (alignment instanceof AppendAlignment.Conflict conflict) {
+            conflictIndex = conflict.index();
+        } else if (alignment instanceof AppendAlignment.Forward forward) {
+            node.handle(forward.append());
+        } else if (alignment instanceof AppendAlignment.Matched matched) {
+            matchedAppend = matched.append();
+            node.handle(matchedAppend); // adopts its term and leader; the failure that it answers is replaced
+        }
+    }
+
+    /** The answer to an append that matched, in place of MicroRaft's failure. */
+    private RaftMessage replaceFailure(AppendEntriesFailureResponse failure) {
+        boolean replaced = matchedAppend != null && failure.getTerm() == matchedAppend.getTerm()
+                && failure.getFlowControlSequenceNumber() == matchedAppend.getFlowControlSequenceNumber();
+        if (!replaced) {
+            return failure;
+        }
+        long matchedIndex = matchedAppend.getPreviousLogIndex();
+        matchedAppend = null;
+        return MODELS.createAppendEntriesSuccessResponseBuilder().setGroupId(failure.getGroupId())
+                .setSender(failure.getSender()).setTerm(failure.getTerm()).setLastLogIndex(matchedIndex)
+                .setQuerySequenceNumber(failure.getQuerySequenceNumber())
+                .setFlowControlSequenceNumber(failure.getFlowControlSequenceNumber()).build();
+    }
+
+    /**
+     * The index from which this replica's entries conflict with the leader's, directly behind its snapshot, or {@link
+     * #NO_CONFLICT}. MicroRaft cannot remove them there: the owner truncates the storage and restores the replica.
+     */
+    public long conflictIndex() {
+        return conflictIndex;
+    }
+
     /** Whether this replica is the leader, as far as it knows. */
     public boolean leads() {
         return self.equals(node.getTerm().getLeaderEndpoint());
@@ -180,7 +283,8 @@
 
     @Override
     public void send(RaftEndpoint target, RaftMessage message) {
-        send.accept((ReplicaId) target, message);
+        send.accept((ReplicaId) target,
+                message instanceof AppendEntriesFailureResponse failure ? replaceFailure(failure) : message);
     }
 
     @Override
