Review case 3: spoilt answers use up the budget for bodies, nothing is served any more

Change: review/3; no source is touched. Cause, as far as known: UpstreamConnection.handleResponse drops a body without closing it where ttfb is no number.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# Spoilt answers use up the budget for bodies for good: the director serves nothing any more.
+# Exits with 1 where the rule was broken, with 0 where it held, with 2 where the case could not run. TROUBLE=0: the same
+# without the disruption. Runs after deploy/build.sh and review/build.sh.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -f target/clovermill.jar ] || [ ! -f target/review/Spoilt.class ]; then
+    echo "to be built first: sh deploy/build.sh && sh review/build.sh"
+    exit 2
+fi
+folder=$(mktemp -d) || exit 2
+timeout -k 4 114 java -Xmx512m -cp target/review Spoilt review/3 "$folder"
+status=$?
+rm -rf "$folder"
+case $status in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
