--- a/review/standins/Director.java
+++ b/review/standins/Director.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A director, started from the repository's root by the deploy file's {@code run} line. */
@@ -50,9 +51,16 @@
         ALL.add(this);
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** A port that is free now, below those that the system draws for connections. */
+    static int freePort() {
+        while (true) {
+            int port = 12_000 + ThreadLocalRandom.current().nextInt(20_000);
+            try {
+                new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1")).close();
+                return port;
+            } catch (IOException taken) {
+                // another one
+            }
         }
     }
 
--- a/review/standins/Loop.java
+++ b/review/standins/Loop.java
@@ -261,7 +261,7 @@
             }
         } catch (IOException | RuntimeException failure) {
             failure.printStackTrace();
-            Runtime.getRuntime().halt(2);
+            System.exit(2);
         }
     }
 }
