--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # New settings are not taken, and requests that may not be repeated are sent twice.
 # Exits with 1 where the rule was broken, with 0 where it held, with 2 where the case could not run. TROUBLE=0: the same
-# without the disruption. Runs after deploy/build.sh and review/build.sh.
+# without the disruption. Runs after deploy/build.sh and review/build.sh; writes record.txt beside this script.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -f target/clovermill.jar ] || [ ! -f target/review/Retuned.class ]; then
     echo "to be built first: sh deploy/build.sh && sh review/build.sh"
