--- a/src/test/java/clovermill/runtime/net/BudgetTest.java
+++ b/src/test/java/clovermill/runtime/net/BudgetTest.java
@@ -4,6 +4,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
 import org.junit.jupiter.api.Test;
 
 class BudgetTest {
@@ -30,4 +34,38 @@
         assertThat(budget.tryReserve(500)).isTrue();
         assertThat(budget.tryReserve(1)).isFalse();
     }
+
+    /** One line when reservations begin to fail and one when half is free again, however many fail in between. */
+    @Test
+    void logsOnceThatItIsUsedUpAndOnceThatHalfOfItIsFree() {
+        List<String> lines = new ArrayList<>();
+        Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                lines.add(new SimpleFormatter().formatMessage(line));
+            }
+
+            @Override
+            public void flush() {}
+
+            @Override
+            public void close() {}
+        };
+        Logger logger = Logger.getLogger(Budget.class.getName());
+        logger.addHandler(handler);
+        try {
+            for (int i = 0; i < 3; i++) {
+                budget.tryReserve(90);
+            }
+            budget.release(30);
+            budget.tryReserve(90);
+            budget.release(10);
+            budget.release(50);
+        } finally {
+            logger.removeHandler(handler);
+        }
+        assertThat(lines).containsExactly(
+                "the memory for bodies is used up, connections wait for it: 90 of 100 bytes are reserved",
+                "half of the memory for bodies is free again");
+    }
 }
