The receiver of an answer owns its body once it has taken it

Cause: since UpstreamConnection.handleResponse owned a body from its call on and decoded ttfb behind that; the exception left the body without an owner and its reservation in the budget for good. Two earlier throwers on the same way (fields, word) had been given a close each; this one had none. Ruled out: caches that left the ring for good, and connections that are not given back. Fix: ResponseParser closes a body unless its receiver has returned, so no thrower on the way can lose one; the two closes at single throwers are gone. Read and sound: ClientStreams.accept, FrameQueue, Attempt.ended, ClientStream.served, WriteQueue, EventLoop and Listener; HTTP parsers reserve nothing.

--- a/src/main/java/clovermill/dataplane/server/FrameParser.java
+++ b/src/main/java/clovermill/dataplane/server/FrameParser.java
@@ -95,9 +95,11 @@
                 .order(ByteOrder.LITTLE_ENDIAN);
         int type = frame.get() & 0xff;
         long stream = frame.getInt() & 0xffffffffL;
-        boolean proceed = sink.handleFrame(type, stream, frame);
-        releaseBuffer();
-        return proceed;
+        try {
+            return sink.handleFrame(type, stream, frame);
+        } finally {
+            releaseBuffer();
+        }
     }
 
     /** Skips the rest of the frame that waits for memory and releases its buffer. */
--- a/src/main/java/clovermill/dataplane/upstream/ResponseParser.java
+++ b/src/main/java/clovermill/dataplane/upstream/ResponseParser.java
@@ -15,7 +15,9 @@
     /** Receives complete responses. */
     interface Sink {
 
-        /** Handles a response; the sink owns its body from now on. */
+        /**
+         * Handles a response. The sink owns the body once it has returned; if it throws, the parser closes the body.
+         */
         void handleResponse(String id, String word, Map<String, String> fields, Body body) throws ProtocolException;
     }
 
@@ -130,14 +132,20 @@
             Body completeBody = body;
             words = null;
             body = null;
-            Map<String, String> fields;
-            try {
-                fields = fields(header[2]);
-            } catch (ProtocolException malformed) {
+            deliver(header, completeBody);
+        }
+    }
+
+    /** Passes a complete response to the sink; closes the body unless the sink has taken it. */
+    private void deliver(String[] header, Body completeBody) throws ProtocolException {
+        boolean taken = false;
+        try {
+            sink.handleResponse(header[0], header[1], fields(header[2]), completeBody);
+            taken = true;
+        } finally {
+            if (!taken) {
                 completeBody.close();
-                throw malformed;
             }
-            sink.handleResponse(header[0], header[1], fields, completeBody);
         }
     }
 
--- a/src/main/java/clovermill/dataplane/upstream/UpstreamConnection.java
+++ b/src/main/java/clovermill/dataplane/upstream/UpstreamConnection.java
@@ -233,13 +233,7 @@
             body.close();
             return;
         }
-        Result result;
-        try {
-            result = ResponseFields.result(word);
-        } catch (ProtocolException malformed) {
-            body.close();
-            throw malformed;
-        }
+        Result result = ResponseFields.result(word);
         CacheStatus cacheStatus = ResponseFields.cacheStatus(fields.get("res"));
         long waitedUs = ResponseFields.timeUs(fields.get("ttfb"));
         openById.remove(id);
--- a/src/test/java/clovermill/dataplane/server/FrameParserTest.java
+++ b/src/test/java/clovermill/dataplane/server/FrameParserTest.java
@@ -78,6 +78,17 @@
         assertThat(second.isMidFrame()).isFalse();
     }
 
+    /** Guards against holding the memory of a large malformed frame until the client's connection has closed. */
+    @Test
+    void releasesTheMemoryOfALargeFrameThatItsReceiverRejects() {
+        ByteBuffer frame = ByteBuffer.allocate(60_000).order(ByteOrder.LITTLE_ENDIAN).putInt(0, 59_996);
+        FrameParser parser = new FrameParser(budget, (type, stream, payload) -> {
+            throw new ProtocolException("rejected");
+        }, FAIL_ON_SKIPPED_FRAME);
+        assertThatThrownBy(() -> parser.parse(frame)).hasMessage("rejected");
+        assertThat(budget.used()).isZero();
+    }
+
     @Test
     void marksEachStreamNumberAsUsedOnce() throws Exception {
         StreamNumbers used = new StreamNumbers();
--- a/src/test/java/clovermill/dataplane/upstream/ResponseParserTest.java
+++ b/src/test/java/clovermill/dataplane/upstream/ResponseParserTest.java
@@ -75,4 +75,14 @@
         parser.parse(data);
         assertThat(responses).containsExactly("a1", "a2");
     }
+
+    /** The receiver of a response owns its body only once it has taken it: no memory may be lost if it throws. */
+    @Test
+    void closesTheBodyOfAResponseThatItsReceiverRejects() {
+        ResponseParser parser = new ResponseParser(budget, (id, word, fields, body) -> {
+            throw new ProtocolException("rejected");
+        });
+        assertThatThrownBy(() -> parser.parse(ByteBuffer.wrap(INPUT))).hasMessage("rejected");
+        assertThat(budget.used()).isZero();
+    }
 }
