A request that a fleet limit rejects no longer counts as open with its tenant

Cause: GossipService asks the ledger first, which counts the request as in progress. With both kinds of limits a tenant is rejected ever earlier, in the end always. Fix: UsageListener.admissionWithdrawn, called by whoever rejects after the next listener has admitted. Not taken: the fleet's limits first, as what the ledger rejects would then use up a rate that others share.

--- a/src/main/java/clovermill/controlplane/gossip/GossipService.java
+++ b/src/main/java/clovermill/controlplane/gossip/GossipService.java
@@ -155,6 +155,7 @@
             LimitShare share = member.share(i);
             if (appliesTo(limits.get(i), request) && !share.admit(nowUs, nowUs + request.remainingUs() + slackUs)) {
                 release(request, i);
+                withdrawFromNext(request);
                 double perMs = limits.get(i).open() == null ? share.amount(nowUs) / 1000 : 1.0 / MAX_RETRY_AFTER_MS;
                 return (long) Math.max(MIN_RETRY_AFTER_MS, Math.min(MAX_RETRY_AFTER_MS, 1 / perMs));
             }
@@ -162,6 +163,18 @@
         return retryAfterMs;
     }
 
+    private void withdrawFromNext(ClientRequest request) {
+        if (next != null) {
+            next.admissionWithdrawn(request);
+        }
+    }
+
+    @Override
+    public void admissionWithdrawn(ClientRequest request) {
+        release(request, limits.size());
+        withdrawFromNext(request);
+    }
+
     /** Releases a request from the first {@code count} limits, after it has completed or the next one rejected it. */
     private void release(ClientRequest request, int count) {
         for (int i = 0; i < count; i++) {
--- a/src/main/java/clovermill/controlplane/placement/Placement.java
+++ b/src/main/java/clovermill/controlplane/placement/Placement.java
@@ -164,6 +164,13 @@
         return isOrigin ? rule.originAllowed() : rule.zones().contains(endpoint.zone());
     }
 
+    @Override
+    public void admissionWithdrawn(ClientRequest request) {
+        if (next != null) {
+            next.admissionWithdrawn(request);
+        }
+    }
+
     @Override
     public void requestEnded(UsageRecord usage) {
         if (next != null) {
--- a/src/main/java/clovermill/dataplane/proxy/UsageListener.java
+++ b/src/main/java/clovermill/dataplane/proxy/UsageListener.java
@@ -18,6 +18,12 @@
      */
     long retryAfterMs(ClientRequest request);
 
+    /**
+     * Takes back the admission of a request that another listener of the chain has rejected afterwards. Its end is
+     * reported as that of a request that was not admitted.
+     */
+    void admissionWithdrawn(ClientRequest request);
+
     /** Handles the end of a request; called exactly once for each request that was read, admitted or not. */
     void requestEnded(UsageRecord usage);
 
--- a/src/main/java/clovermill/ledger/Ledger.java
+++ b/src/main/java/clovermill/ledger/Ledger.java
@@ -184,6 +184,12 @@
         return retryAfterMs;
     }
 
+    @Override
+    public void admissionWithdrawn(ClientRequest request) {
+        String tenant = rules.tenant(request.requestClass(), request.group());
+        usageLimits.admissionWithdrawn(tenant, ledgerClock.at(clock.micros() / 1000));
+    }
+
     @Override
     public void requestEnded(UsageRecord usage) {
         ClientRequest request = usage.request();
--- a/src/main/java/clovermill/ledger/decide/UsageLimits.java
+++ b/src/main/java/clovermill/ledger/decide/UsageLimits.java
@@ -76,6 +76,14 @@
         }
     }
 
+    /** Stops counting a request in progress that was admitted here and rejected elsewhere. */
+    public void admissionWithdrawn(String tenant, long nowMs) {
+        if (limits.containsKey(tenant)) {
+            Usage usage = usage(tenant, nowMs);
+            usage.inFlight = Math.max(0, usage.inFlight - 1);
+        }
+    }
+
     /** Counts a completed request, in the period in which it was received. */
     public void requestEnded(String tenant, long receivedMs, long bytes, long nowMs) {
         if (limits.containsKey(tenant)) {
