Responses: word and fields are decoded in one place into a typed record

Change: ResponseFields is a record that decode makes of word and fields, before anything of the exchange changes. Names of the wire stand there alone. No behaviour changes.

--- a/src/main/java/clovermill/dataplane/upstream/ResponseFields.java
+++ b/src/main/java/clovermill/dataplane/upstream/ResponseFields.java
@@ -5,8 +5,18 @@
 import clovermill.runtime.net.ProtocolException;
 import java.util.Map;
 
-/** A decoder of response fields in the lines protocol (the protocol page, "Directors to caches"). */
-final class ResponseFields {
+/**
+ * The decoded word and fields of a response in the lines protocol (the protocol page, "Directors to caches").
+ *
+ * @param result the result of the exchange
+ * @param notModified whether the client's own copy is valid
+ * @param cacheStatus how the cache found the object; {@link CacheStatus#NONE} if it does not report that
+ * @param waitedUs the time until a fill's first byte, in microseconds; 0 if it is not reported
+ * @param tag the entity tag of the object, or null
+ * @param gauges the load report as text, or null
+ */
+record ResponseFields(Result result, boolean notModified, CacheStatus cacheStatus, long waitedUs, String tag,
+        String gauges) {
 
     private static final Map<String, CacheStatus> CACHE_STATUSES =
             Map.of(
@@ -21,10 +31,17 @@
                     "NO_FILL", CacheStatus.FILL_LIMIT_REACHED,
                     "ORIGIN_ERR", CacheStatus.ORIGIN_FAILED);
 
-    private ResponseFields() {}
+    /**
+     * Decodes a response.
+     *
+     * @throws ProtocolException if the word is unknown or the time is not a number
+     */
+    static ResponseFields decode(String word, Map<String, String> fields) throws ProtocolException {
+        return new ResponseFields(decodeResult(word), word.equals("KEEP"), decodeCacheStatus(fields.get("res")),
+                decodeTimeUs(fields.get("ttfb")), fields.get("etag"), fields.get("gauges"));
+    }
 
-    /** Decodes the result word of a response. */
-    static Result result(String word) throws ProtocolException {
+    private static Result decodeResult(String word) throws ProtocolException {
         return switch (word) {
             case "DONE", "KEEP", "FIT" -> Result.OK;
             case "LACK" -> Result.MISS;
@@ -36,12 +53,12 @@
     }
 
     /** Decodes a cache status; returns {@link CacheStatus#NONE} for null and unknown texts. */
-    static CacheStatus cacheStatus(String text) {
+    private static CacheStatus decodeCacheStatus(String text) {
         return text == null ? CacheStatus.NONE : CACHE_STATUSES.getOrDefault(text, CacheStatus.NONE);
     }
 
     /** Converts a time in milliseconds to microseconds; returns 0 for null. */
-    static long timeUs(String ms) throws ProtocolException {
+    private static long decodeTimeUs(String ms) throws ProtocolException {
         try {
             return ms == null ? 0 : (long) (Double.parseDouble(ms) * 1000);
         } catch (NumberFormatException e) {
--- a/src/main/java/clovermill/dataplane/upstream/UpstreamConnection.java
+++ b/src/main/java/clovermill/dataplane/upstream/UpstreamConnection.java
@@ -233,21 +233,19 @@
             body.close();
             return;
         }
-        Result result = ResponseFields.result(word);
-        CacheStatus cacheStatus = ResponseFields.cacheStatus(fields.get("res"));
-        long waitedUs = ResponseFields.timeUs(fields.get("ttfb"));
+        ResponseFields decoded = ResponseFields.decode(word, fields);
         openById.remove(id);
         recentIds.addAnswered(id, pool.nowUs());
         unansweredSinceUs = openById.isEmpty() ? 0 : watchdog.lastReceivedUs();
-        reportLoad(exchange, fields.get("gauges"));
-        exchange.end(result, cacheStatus, waitedUs, response(result, word, fields, body));
+        reportLoad(exchange, decoded.gauges());
+        exchange.end(decoded.result(), decoded.cacheStatus(), decoded.waitedUs(), response(decoded, body));
         updateAfterEnd();
     }
 
     /** Returns the response, whose body the listener owns; for any result but OK closes the body and returns null. */
-    private static UpstreamResponse response(Result result, String word, Map<String, String> fields, Body body) {
-        if (result == Result.OK) {
-            return new UpstreamResponse(body, word.equals("KEEP"), fields.get("etag"));
+    private static UpstreamResponse response(ResponseFields decoded, Body body) {
+        if (decoded.result() == Result.OK) {
+            return new UpstreamResponse(body, decoded.notModified(), decoded.tag());
         }
         body.close();
         return null;
