The index of parts is bounded by the bytes that it holds, not by their number

Looked at: class histograms at 20, 40 and 60 s, at 3,200 and at 200 caches. double[] 25.0, 47.7, 68.0 MB of 84.6 in all against 1.6, 3.1, 4.4 MB; as many arrays as parts in both (2,926, 5,579, 7,958). The ring is 7.0 MB throughout, everything else 10 MB. So not the copies of parts, not the statistics of caches, not connections, and not the ring, which is large but does not grow. Full collections: 116 before the end, 8 with 200 caches. Cause: CacheContentsIndex kept 30,000 parts whatever one takes, and RouteSelector.walk had DecayingCounts.countsAt allocate a count for each cache of the location in each: 8.5 KB with 1,067. Change: the index keeps what fits a quarter of the heap and evicts the parts requested longest ago (WeightedLruMap). A part has counts for the nodes passed only, and times of copies by the number of the cache, so that it keeps no dropped cache's statistics alive (CompactIntLongMap). Counts and copies that have decayed or expired take no room. Why it holds: the bound is the sum of what is held, with no number of caches or parts in it.

--- a/src/main/java/clovermill/director/DataPlane.java
+++ b/src/main/java/clovermill/director/DataPlane.java
@@ -39,7 +39,7 @@
         pool = new UpstreamPool(runtime.loop(), runtime.clock(), runtime.deadlines(), runtime.bodyBudget(),
                 new UpstreamPool.Limits(config.streamsPerConnection(), descriptors.endpointConnections(false),
                         settings.dialTimeoutUs(), (long) (IDLE_TIMEOUT_FACTOR * config.connectionIdleUs())));
-        RequestRouter router = new RequestRouter(settings, config.seed());
+        RequestRouter router = new RequestRouter(settings, config.seed(), runtime.indexBytes());
         // The core's hot path tests for null: most directors have neither a listener nor attempt bounds.
         UsageListener listener = policy.isPresent() ? policy.get().placement() : usage.listener().orElse(null);
         core = new ProxyCore(router, settings, runtime.clock(), runtime.deadlines(), pool, listener,
--- a/src/main/java/clovermill/director/DirectorRuntime.java
+++ b/src/main/java/clovermill/director/DirectorRuntime.java
@@ -13,11 +13,14 @@
  * @param deadlines the timers, run by the loop
  * @param loop the event loop; its thread owns all state of the planes
  * @param bodyBudget the memory budget for bodies of requests and answers
+ * @param indexBytes the heap that the router's index of parts may take, in bytes
  */
-record DirectorRuntime(Clock clock, Deadlines deadlines, EventLoop loop, Budget bodyBudget) {
+record DirectorRuntime(Clock clock, Deadlines deadlines, EventLoop loop, Budget bodyBudget, long indexBytes) {
 
-    /** Divides the heap for {@code bodyBudget}; the contents index, open requests and read buffers share the rest. */
+    /** Divides the heap for {@code bodyBudget}; the index, the endpoints, open requests and buffers share the rest. */
     private static final int BODY_HEAP_DIVISOR = 4;
+    /** Divides the heap for {@code indexBytes}. */
+    private static final int INDEX_HEAP_DIVISOR = 4;
 
     /**
      * Opens the selector.
@@ -27,7 +30,8 @@
     static DirectorRuntime open(Clock clock, StartupRetry startup) throws IOException {
         Deadlines deadlines = new Deadlines();
         EventLoop loop = startup.get("the selector", () -> new EventLoop(clock, deadlines));
-        return new DirectorRuntime(clock, deadlines, loop,
-                new Budget(Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR));
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        return new DirectorRuntime(clock, deadlines, loop, new Budget(heapBytes / BODY_HEAP_DIVISOR),
+                heapBytes / INDEX_HEAP_DIVISOR);
     }
 }
--- a/src/main/java/clovermill/routing/CacheContentsIndex.java
+++ b/src/main/java/clovermill/routing/CacheContentsIndex.java
@@ -2,15 +2,15 @@
 
 import clovermill.routing.api.Purge;
 import clovermill.routing.api.Request;
+import clovermill.routing.stats.CompactIntLongMap;
 import clovermill.routing.stats.DecayingCounts;
-import clovermill.routing.stats.LruMap;
 import clovermill.routing.stats.PurgeLog;
-import java.util.HashMap;
-import java.util.Map;
+import clovermill.routing.stats.WeightedLruMap;
 
 /**
  * An index of the parts that each cache has, from this director's own observations. It also counts the requests for a
- * part that passed each node of its object's tree, and records the purges that bound the age of a copy.
+ * part that passed each node of its object's tree, and records the purges that bound the age of a copy. The parts are
+ * bounded by the bytes that they take; the least recently requested ones are evicted.
  */
 final class CacheContentsIndex {
 
@@ -18,38 +18,83 @@
     private static final long ENTRY_LIFETIME_US = 30_000_000;
     /** Interval at which the counts of requests that passed a tree node are halved. */
     private static final long PASS_COUNT_HALVING_US = 10_000_000;
-    /** Maximum number of indexed parts, which bounds memory to some megabytes; evicted by LRU. */
-    private static final int MAX_PARTS = 30_000;
+    /** Bytes of a part without its copies and passes: the objects of its entry, its key and its place in the map. */
+    private static final long PART_BYTES = 200;
 
     private final RoutingContext context;
     private final PurgeLog purges = new PurgeLog();
-    private final Map<PartKey, PartEntry> parts = new LruMap<>(MAX_PARTS);
+    private final WeightedLruMap<PartKey, PartEntry> parts;
 
-    CacheContentsIndex(RoutingContext context) {
+    /** Creates an empty index, the parts of which take at most {@code maxBytes} of heap. */
+    CacheContentsIndex(RoutingContext context, long maxBytes) {
         this.context = context;
+        this.parts = new WeightedLruMap<>(maxBytes, PartEntry::bytes);
     }
 
     private record PartKey(long object, int part) {}
 
-    /** The entry of a part: the time at which each cache last confirmed a copy, and the passes of each tree node. */
-    record PartEntry(Map<Endpoint, Long> confirmedUs, DecayingCounts passes) {}
+    /** The entry of a part. Only this index changes it. */
+    static final class PartEntry {
+        /** The times at which caches last confirmed a copy, by the number of the cache. */
+        private final CompactIntLongMap confirmedUs = new CompactIntLongMap();
+        /** The requests that passed each tree node. */
+        private final DecayingCounts passes = new DecayingCounts(PASS_COUNT_HALVING_US);
 
-    /** Returns the entry of the requested part; creates it if there is none. */
+        private long bytes() {
+            return PART_BYTES + confirmedUs.bytes() + passes.bytes();
+        }
+    }
+
+    /** Returns the current entry of the requested part; creates it if there is none. */
     PartEntry entryFor(Request request) {
-        return parts.computeIfAbsent(new PartKey(request.object(), request.part()),
-                key -> new PartEntry(new HashMap<>(4), new DecayingCounts(PASS_COUNT_HALVING_US)));
+        PartEntry entry = parts.getOrCreate(new PartKey(request.object(), request.part()), PartEntry::new);
+        long bytesBefore = entry.bytes();
+        if (entry.passes.advance(context.nowUs)) {
+            entry.confirmedUs.replaceAll(confirmedUs -> hasExpired(confirmedUs) ? 0 : confirmedUs);
+            parts.addWeight(entry.bytes() - bytesBefore);
+        }
+        return entry;
+    }
+
+    private boolean hasExpired(long confirmedUs) {
+        return context.nowUs - confirmedUs > ENTRY_LIFETIME_US;
     }
 
     /** Returns whether a cache probably has a part: confirmed recently, after the cache's start and any purge. */
     boolean isCachedAt(PartEntry entry, Endpoint cache, Request request) {
-        long confirmedUs = entry.confirmedUs.getOrDefault(cache, RoutingContext.NEVER);
-        return context.nowUs - confirmedUs <= ENTRY_LIFETIME_US && confirmedUs >= cache.startedUs
+        long confirmedUs = entry.confirmedUs.get(cache.number);
+        return confirmedUs != 0 && !hasExpired(confirmedUs) && confirmedUs >= cache.startedUs
                 && purges.confirmedSincePurge(request.object(), request.group(), confirmedUs);
     }
 
     /** Records whether a cache has a copy of the requested part. */
     void recordCopy(Request request, Endpoint cache, boolean hasCopy) {
-        entryFor(request).confirmedUs.put(cache, hasCopy ? context.nowUs : RoutingContext.NEVER);
+        PartEntry entry = entryFor(request);
+        long bytesBefore = entry.bytes();
+        entry.confirmedUs.put(cache.number, hasCopy ? context.nowUs : 0);
+        parts.addWeight(entry.bytes() - bytesBefore);
+    }
+
+    /** Returns the requests that recently passed a node of a part's tree; older ones count less. */
+    double passes(PartEntry entry, int treeNode) {
+        return entry.passes.count(treeNode);
+    }
+
+    /** Counts a request that passed a node of the tree of the part whose entry was returned last. */
+    void recordPass(PartEntry entry, int treeNode) {
+        long bytesBefore = entry.bytes();
+        entry.passes.increment(treeNode);
+        parts.addWeight(entry.bytes() - bytesBefore);
+    }
+
+    /** Returns the number of parts in the index. */
+    int size() {
+        return parts.size();
+    }
+
+    /** Returns the heap that the parts take, in bytes. */
+    long bytes() {
+        return parts.weight();
     }
 
     /** Records a purge; it is retained until every entry from before it has expired. */
--- a/src/main/java/clovermill/routing/CapacityEstimator.java
+++ b/src/main/java/clovermill/routing/CapacityEstimator.java
@@ -20,7 +20,7 @@
     private final RoutingContext context;
     private final EndpointSet endpoints;
     /** The inbound link of the location, shared by all fills; its capacity is learned if its rate is not configured. */
-    private final Endpoint link = new Endpoint("link");
+    private final Endpoint link = new Endpoint("link", -1);
     /**
      * Attempts that count as load, until they end or exceed their latency target: an attempt that hangs is not a
      * transfer. Bounded by the open requests.
--- a/src/main/java/clovermill/routing/Endpoint.java
+++ b/src/main/java/clovermill/routing/Endpoint.java
@@ -13,6 +13,8 @@
     enum Role { CACHE, PARENT, ORIGIN }
 
     final String id;
+    /** Its number, by which state that may outlive it refers to it; never used again for another endpoint. */
+    final int number;
     /** This director's attempts that load it. */
     final InFlightCount inFlight = new InFlightCount();
     /** The other directors' attempts that load it. */
@@ -32,7 +34,8 @@
     /** True if it may be used: it is listed as healthy and not disabled by operators. */
     boolean listed;
 
-    Endpoint(String id) {
+    Endpoint(String id, int number) {
         this.id = id;
+        this.number = number;
     }
 }
--- a/src/main/java/clovermill/routing/EndpointSet.java
+++ b/src/main/java/clovermill/routing/EndpointSet.java
@@ -25,6 +25,7 @@
     private final EndpointRing parents = new EndpointRing();
     private List<String> disabledIds = List.of();
     private Endpoint origin;
+    private int nextNumber;
 
     EndpointSet(RoutingContext context) {
         this.context = context;
@@ -69,7 +70,7 @@
             byId.values().forEach(endpoint -> endpoint.listed = false);
         }
         for (Member member : update.members()) {
-            update(byId.computeIfAbsent(member.id(), Endpoint::new), member, listener);
+            update(byId.computeIfAbsent(member.id(), id -> new Endpoint(id, nextNumber++)), member, listener);
         }
         byId.values().removeIf(endpoint -> !endpoint.listed && endpoint.inFlight.current() == 0);
         List<Endpoint> listed = byId.values().stream().filter(endpoint -> endpoint.listed)
--- a/src/main/java/clovermill/routing/RequestRouter.java
+++ b/src/main/java/clovermill/routing/RequestRouter.java
@@ -25,6 +25,8 @@
  */
 public final class RequestRouter implements CacheRouter {
 
+    /** The heap that the index of parts may take where the host sets no limit, in bytes. */
+    public static final long DEFAULT_INDEX_BYTES = 16 << 20;
     /** The token of the timer after which the member list is requested again. */
     private static final long MEMBER_LIST_TOKEN = Long.MAX_VALUE;
 
@@ -35,14 +37,24 @@
     private final CacheContentsIndex contents;
     private final RequestLifecycle lifecycle;
 
-    /** Creates a router for one director; {@code seed} initializes its random number generator. */
+    /** Creates a router whose index of parts takes at most {@link #DEFAULT_INDEX_BYTES}. */
     public RequestRouter(Settings settings, long seed) {
+        this(settings, seed, DEFAULT_INDEX_BYTES);
+    }
+
+    /**
+     * Creates a router for one director.
+     *
+     * @param seed initializes its random number generator
+     * @param indexBytes the heap that the index of the parts at caches may take, in bytes
+     */
+    public RequestRouter(Settings settings, long seed, long indexBytes) {
         ClassServiceTimes serviceTimes = new ClassServiceTimes();
         context = new RoutingContext(settings, seed);
         endpoints = new EndpointSet(context);
         slowStart = new SlowStart(context, endpoints, serviceTimes);
         capacity = new CapacityEstimator(context, endpoints);
-        contents = new CacheContentsIndex(context);
+        contents = new CacheContentsIndex(context, indexBytes);
         OutlierDetector outliers = new OutlierDetector(context, endpoints, slowStart);
         OriginLoadShedder originShedder = new OriginLoadShedder(context);
         RouteSelector routes = new RouteSelector(context, endpoints, contents, capacity, outliers, slowStart,
--- a/src/main/java/clovermill/routing/RouteSelector.java
+++ b/src/main/java/clovermill/routing/RouteSelector.java
@@ -80,17 +80,19 @@
     private WalkEnd walk(PartEntry entry, PendingRequest pending) {
         Request request = pending.request;
         int treeSize = endpoints.caches().endpoints.size();
-        double[] passes = entry.passes().countsAt(treeSize, context.nowUs);
         int firstLeaf = treeSize < 2 ? 0 : (treeSize - 2) / ARITY + 1;
         int treeNode = firstLeaf + context.random.nextInt(Math.max(1, treeSize - firstLeaf));
         while (treeNode > 0) {
             Endpoint cache = cacheAt(treeNode, pending);
             boolean hasCopy = cache != null && contents.isCachedAt(entry, cache, request);
-            boolean takesCopy = cache != null && !hasCopy && passes[treeNode] >= PASSES_BEFORE_COPY;
+            boolean takesCopy =
+                    cache != null && !hasCopy && contents.passes(entry, treeNode) >= PASSES_BEFORE_COPY;
             if (hasCopy || takesCopy) {
                 return new WalkEnd(treeNode, cache, takesCopy);
             }
-            passes[treeNode] += pending.attemptsSent == 0 ? 1 : 0;
+            if (pending.attemptsSent == 0) {
+                contents.recordPass(entry, treeNode);
+            }
             treeNode = (treeNode - 1) / ARITY;
         }
         return new WalkEnd(treeNode, null, false);
