--- a/src/main/java/clovermill/routing/OutlierDetector.java
+++ b/src/main/java/clovermill/routing/OutlierDetector.java
@@ -3,7 +3,6 @@
 import clovermill.routing.api.Log;
 import clovermill.routing.load.ConcurrencyEstimator;
 import clovermill.routing.stats.CircuitBreaker;
-import java.util.List;
 
 /**
  * Outlier detection: ejects failing endpoints from their ring by a circuit breaker each, and readmits them after a
@@ -36,10 +35,8 @@
      * load: then only endpoints that cannot be reached remain ejected.
      */
     boolean isHealthy(Endpoint endpoint) {
-        List<Endpoint> ring = endpoints.ringOf(endpoint).endpoints;
-        boolean mostlyOpen = 2 * ring.stream().filter(other -> other.breaker.isOpen()).count() > ring.size();
         return endpoint.listed && (endpoint.breaker.allowsRequest(context.nowUs)
-                || !endpoint.breaker.isFullyFailed() && mostlyOpen);
+                || !endpoint.breaker.isFullyFailed() && endpoints.ringOf(endpoint).isMostlyOpen());
     }
 
     /** Records that a request was sent, which is the trial if the endpoint's breaker is open. */
@@ -78,7 +75,9 @@
     }
 
     private void recordFailure(Endpoint endpoint, double weight, boolean connectFailed) {
-        if (endpoint.breaker.recordFailure(weight, connectFailed, context.nowUs)) {
+        boolean opensAnew = endpoint.breaker.recordFailure(weight, connectFailed, context.nowUs);
+        endpoints.ringOf(endpoint).breakerChanged();
+        if (opensAnew) {
             context.emit(new Log("left the ring: " + endpoint.role + " " + endpoint.id));
         }
     }
@@ -89,7 +88,12 @@
      * less load for some seconds.
      */
     void recordSuccess(Endpoint endpoint) {
-        if (endpoint.breaker.recordSuccess(context.nowUs)) {
+        boolean wasOpen = endpoint.breaker.isOpen();
+        boolean reachableAgain = endpoint.breaker.recordSuccess(context.nowUs);
+        if (wasOpen) {
+            endpoints.ringOf(endpoint).breakerChanged();
+        }
+        if (reachableAgain) {
             slowStart.onStart(endpoint, context.nowUs);
         }
     }
--- a/src/main/java/clovermill/routing/SlowStart.java
+++ b/src/main/java/clovermill/routing/SlowStart.java
@@ -71,6 +71,7 @@
     void onStart(Endpoint endpoint, long startedUs) {
         endpoint.startedUs = startedUs;
         endpoint.breaker.reset();
+        endpoints.ringOf(endpoint).breakerChanged();
         endpoint.concurrency.reset();
         endpoint.peerLoad.reset();
         endpoint.slowStartBudget.reset(context.random.nextDouble(), context.nowUs);
