The ring keeps its virtual nodes in sorted arrays, 12 bytes each in place of 64

Cause: each of a cache's 100 virtual nodes was a tree's entry with a boxed number. The operators allow 4 MB of memory for each thousand caches. Change: HashRing has two sorted arrays; a new list removes and inserts the nodes of the members whose share changes, in one pass. firstClockwise remembers what it rejected in a set instead of a list that it searched from the start for each virtual node, and ends when all members are rejected. HashRingTest as before, with one test more for the order of looks; ActionDigestTest as before.

--- a/src/main/java/clovermill/routing/stats/HashRing.java
+++ b/src/main/java/clovermill/routing/stats/HashRing.java
@@ -1,10 +1,13 @@
 package clovermill.routing.stats;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
@@ -12,42 +15,73 @@
 
 /**
  * A consistent-hash ring (Karger et al., 1997): each member has virtual nodes in proportion to its weight. The ring is
- * a function of ids and weights alone, so it is the same at every director. Not thread-safe.
+ * a function of ids and weights alone, so it is the same at every director. The virtual nodes lie in sorted arrays, 12
+ * bytes each. Not thread-safe.
  */
 public final class HashRing<T> {
 
     /** Virtual nodes of a member of mean weight; the shares of a few members then differ by about a tenth. */
     private static final int VIRTUAL_NODES = 100;
 
-    private final TreeMap<Long, T> virtualNodes = new TreeMap<>();
-    /** The number of virtual nodes of each member. */
-    private Map<T, Long> counts = new LinkedHashMap<>();
+    private record VirtualNode<T>(long point, T member) {}
+
+    /** The points of the virtual nodes in ascending order, and the member of each. */
+    private long[] points = {};
+    private Object[] owners = {};
+    private int size;
+    /** What the ring has of each member. */
+    private final Map<T, Share> shares = new HashMap<>();
+    private long listCount;
+
+    /** The number of a member's virtual nodes, and the last list that had the member. */
+    private static final class Share {
+        private int nodes;
+        private long list;
+    }
 
     /**
      * Replaces all members. Hashes only those whose number of virtual nodes changes; otherwise a list of some hundred
      * members that reports its changes one by one would have all of them hashed each time.
      */
     public void setMembers(List<T> members, Function<T, String> id, ToDoubleFunction<T> weight) {
-        double totalWeight = members.stream().mapToDouble(weight).sum();
-        Map<T, Long> wanted = new LinkedHashMap<>();
+        double totalWeight = 0;
         for (T member : members) {
-            wanted.put(member, Math.max(1,
-                    Math.round(VIRTUAL_NODES * weight.applyAsDouble(member) * members.size() / totalWeight)));
+            totalWeight += weight.applyAsDouble(member);
         }
-        // Removed first: a new member may have the id, and thus the points, of a removed one.
-        counts.forEach((member, count) -> {
-            long kept = wanted.getOrDefault(member, 0L);
-            if (kept < count) {
-                points(id.apply(member), kept, count).forEach(point -> virtualNodes.remove(point, member));
+        listCount++;
+        LongStream.Builder removed = LongStream.builder();
+        List<VirtualNode<T>> added = new ArrayList<>();
+        for (T member : members) {
+            int wanted = (int) Math.max(1,
+                    Math.round(VIRTUAL_NODES * weight.applyAsDouble(member) * members.size() / totalWeight));
+            Share share = shares.computeIfAbsent(member, key -> new Share());
+            share.list = listCount;
+            if (wanted < share.nodes) {
+                points(id.apply(member), wanted, share.nodes).forEach(removed);
+            } else if (wanted > share.nodes) {
+                points(id.apply(member), share.nodes, wanted)
+                        .forEach(point -> added.add(new VirtualNode<>(point, member)));
             }
-        });
-        wanted.forEach((member, count) -> {
-            long present = counts.getOrDefault(member, 0L);
-            if (present < count) {
-                points(id.apply(member), present, count).forEach(point -> virtualNodes.put(point, member));
+            share.nodes = wanted;
+        }
+        if (shares.size() > members.size()) {
+            removeUnlisted(id, removed);
+        }
+        // Removed first: a new member may have the id, and thus the points, of a removed one.
+        remove(removed.build().sorted().toArray());
+        added.sort(Comparator.comparingLong(VirtualNode::point));
+        insert(added);
+    }
+
+    /** Removes the shares of members that the last list did not have, and adds their points to {@code removed}. */
+    private void removeUnlisted(Function<T, String> id, LongStream.Builder removed) {
+        shares.entrySet().removeIf(entry -> {
+            Share share = entry.getValue();
+            if (share.list < listCount) {
+                points(id.apply(entry.getKey()), 0, share.nodes).forEach(removed);
             }
+            return share.list < listCount;
         });
-        counts = wanted;
     }
 
     /** Returns the points of a member's virtual nodes {@code from} to {@code to}, exclusive. */
@@ -56,14 +90,73 @@
         return LongStream.range(from, to).map(number -> mix(seed + number));
     }
 
+    /** Removes the virtual nodes at points in ascending order. */
+    private void remove(long[] removed) {
+        int kept = 0;
+        int next = 0;
+        for (long point : removed) {
+            int at = Arrays.binarySearch(points, next, size, point);
+            if (at >= 0) {
+                kept = move(next, at, kept);
+                next = at + 1;
+            }
+        }
+        if (removed.length > 0) {
+            int end = size;
+            size = move(next, end, kept);
+            Arrays.fill(owners, size, end, null);
+        }
+    }
+
+    /** Moves the virtual nodes {@code from} to {@code to}, exclusive, to an index; returns the index behind them. */
+    private int move(int from, int to, int target) {
+        System.arraycopy(points, from, points, target, to - from);
+        System.arraycopy(owners, from, owners, target, to - from);
+        return target + to - from;
+    }
+
+    /** Inserts virtual nodes in ascending order of their points. */
+    private void insert(List<VirtualNode<T>> added) {
+        int end = size;
+        int target = size + added.size();
+        reserve(target);
+        size = target;
+        for (int i = added.size() - 1; i >= 0; i--) {
+            VirtualNode<T> node = added.get(i);
+            int at = Arrays.binarySearch(points, 0, end, node.point);
+            int first = at < 0 ? -at - 1 : at;
+            target -= end - first;
+            move(first, end, target);
+            end = first;
+            target--;
+            points[target] = node.point;
+            owners[target] = node.member;
+        }
+    }
+
+    /** Ensures room for a number of virtual nodes and gives back room of which less than half is used. */
+    private void reserve(int nodes) {
+        if (nodes > points.length || nodes < points.length / 2) {
+            int capacity = nodes + nodes / 8;
+            points = Arrays.copyOf(points, capacity);
+            owners = Arrays.copyOf(owners, capacity);
+        }
+    }
+
     /** Returns the first accepted member clockwise from a point, or null; tests each member at most once. */
     public T firstClockwise(long point, Predicate<T> accepts) {
-        List<T> tested = new ArrayList<>(4);
-        for (Map<Long, T> arc : List.of(virtualNodes.tailMap(point), virtualNodes.headMap(point))) {
-            for (T member : arc.values()) {
-                if (!tested.contains(member) && tested.add(member) && accepts.test(member)) {
+        int at = Arrays.binarySearch(points, 0, size, point);
+        int first = at < 0 ? -at - 1 : at;
+        Set<Object> rejected = Set.of();
+        for (int i = first; i < first + size && rejected.size() < shares.size(); i++) {
+            @SuppressWarnings("unchecked") // only members are stored
+            T member = (T) owners[i < size ? i : i - size];
+            if (!rejected.contains(member)) {
+                if (accepts.test(member)) {
                     return member;
                 }
+                rejected = rejected.isEmpty() ? new HashSet<>() : rejected;
+                rejected.add(member);
             }
         }
         return null;
--- a/src/test/java/clovermill/routing/stats/HashRingTest.java
+++ b/src/test/java/clovermill/routing/stats/HashRingTest.java
@@ -75,6 +75,27 @@
         }
     }
 
+    /** Tests each member at most once, in the order of the points, and ends when all are rejected. */
+    @Test
+    void looksClockwiseAtEachMemberOnce() {
+        List<Node> nodes = nodes(MEMBERS);
+        HashRing<Node> ring = new HashRing<>();
+        assertThat(ring.firstClockwise(7, node -> true)).isNull();
+        ring.setMembers(nodes, node -> node.id, node -> node.weight);
+        Random random = new Random(9);
+        for (int i = 0; i < 100; i++) {
+            long point = random.nextLong();
+            List<Node> tested = new ArrayList<>();
+            assertThat(ring.firstClockwise(point, node -> {
+                tested.add(node);
+                return false;
+            })).isNull();
+            assertThat(tested).containsExactlyInAnyOrderElementsOf(nodes);
+            Node third = tested.get(2);
+            assertThat(ring.firstClockwise(point, node -> node == third || tested.indexOf(node) > 2)).isSameAs(third);
+        }
+    }
+
     @Test
     void sharesAreProportionalToWeights() {
         List<Node> nodes = nodes(4);
