An event of the list makes anew only the ring that it changes

Looked at: a loop of 3,000 single changes, serial collector, C1, processor time and bytes an event: 67 caches 61 us and 15 KB, 200 124 us, 28 KB, 1,067 523 us, 113 KB, 3,200 1,975 us, 327 KB; the same with the ring as arrays (1,862 us). Cause: EndpointSet.update sorted all endpoints by id, made three lists and had both rings reckon every member's share with maps of all members, whatever had changed. Change: endpoints are kept in the order of their ids; a ring is made anew only where its endpoints or a weight changed.

--- a/src/main/java/clovermill/routing/EndpointRing.java
+++ b/src/main/java/clovermill/routing/EndpointRing.java
@@ -18,8 +18,15 @@
     /** The number of open breakers; {@link #NOT_COUNTED} after a change. */
     private int openBreakers = NOT_COUNTED;
 
-    /** Replaces the endpoints; the measured throughput is retained. */
-    void setEndpoints(List<Endpoint> listed) {
+    /**
+     * Replaces the endpoints; the measured throughput is retained.
+     *
+     * @param reweighted whether the weight of one of them may have changed; without that, the same ones cost little
+     */
+    void setEndpoints(List<Endpoint> listed, boolean reweighted) {
+        if (!reweighted && listed.equals(endpoints)) {
+            return;
+        }
         endpoints = listed;
         openBreakers = NOT_COUNTED;
         totalWeight = endpoints.stream().mapToDouble(endpoint -> endpoint.weight).sum();
--- a/src/main/java/clovermill/routing/EndpointSet.java
+++ b/src/main/java/clovermill/routing/EndpointSet.java
@@ -5,10 +5,10 @@
 import clovermill.routing.api.ListScope;
 import clovermill.routing.api.Member;
 import clovermill.routing.api.MembersChanged;
-import java.util.Comparator;
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** The listed endpoints by role. Bounded by the member list. */
 final class EndpointSet {
@@ -20,7 +20,8 @@
     }
 
     private final RoutingContext context;
-    private final Map<String, Endpoint> byId = new HashMap<>();
+    /** The listed endpoints, and those that have attempts in flight; in the order of their ids. */
+    private final Map<String, Endpoint> byId = new TreeMap<>();
     private final EndpointRing caches = new EndpointRing();
     private final EndpointRing parents = new EndpointRing();
     private List<String> disabledIds = List.of();
@@ -69,16 +70,37 @@
         if (update.scope() == ListScope.FULL || update.scope() == ListScope.LAST_KNOWN) {
             byId.values().forEach(endpoint -> endpoint.listed = false);
         }
+        boolean reweighted = false;
         for (Member member : update.members()) {
-            update(byId.computeIfAbsent(member.id(), id -> new Endpoint(id, nextNumber++)), member, listener);
+            Endpoint endpoint = byId.computeIfAbsent(member.id(), id -> new Endpoint(id, nextNumber++));
+            double weight = endpoint.weight;
+            update(endpoint, member, listener);
+            reweighted |= endpoint.weight != weight;
         }
         byId.values().removeIf(endpoint -> !endpoint.listed && endpoint.inFlight.current() == 0);
-        List<Endpoint> listed = byId.values().stream().filter(endpoint -> endpoint.listed)
-                .sorted(Comparator.comparing(endpoint -> endpoint.id)).toList();
-        caches.setEndpoints(listed.stream()
-                .filter(endpoint -> endpoint.role == Role.CACHE && endpoint.zone == context.settings.zone()).toList());
-        parents.setEndpoints(listed.stream().filter(endpoint -> endpoint.role == Role.PARENT).toList());
-        origin = listed.stream().filter(endpoint -> endpoint.role == Role.ORIGIN).findFirst().orElse(null);
+        setRings(reweighted);
+    }
+
+    /** Sorts the listed endpoints into their rings; {@code reweighted} tells whether a weight may have changed. */
+    private void setRings(boolean reweighted) {
+        List<Endpoint> listedCaches = new ArrayList<>();
+        List<Endpoint> listedParents = new ArrayList<>();
+        origin = null;
+        for (Endpoint endpoint : byId.values()) {
+            if (endpoint.listed && isLocalCache(endpoint)) {
+                listedCaches.add(endpoint);
+            } else if (endpoint.listed && endpoint.role == Role.PARENT) {
+                listedParents.add(endpoint);
+            } else if (endpoint.listed && endpoint.role == Role.ORIGIN && origin == null) {
+                origin = endpoint;
+            }
+        }
+        caches.setEndpoints(listedCaches, reweighted);
+        parents.setEndpoints(listedParents, reweighted);
+    }
+
+    private boolean isLocalCache(Endpoint endpoint) {
+        return endpoint.role == Role.CACHE && endpoint.zone == context.settings.zone();
     }
 
     private void update(Endpoint endpoint, Member member, StartListener listener) {
