Starts and ids of listed caches are remembered with the list, not by number

With more than 2,000 caches that tell a start, all count as just started, at the director's start and at each full list; operators' calls are refused as unknown for all but the 1,000 caches named last, and for a cache that stays listed while 1,000 ids come and go. Cause: StartTimes kept 2,000 starts and EndpointRegistry 1,000 ids, in maps that evict what was used longest ago, listed or not; a list of 3,200 runs through such a map so that each entry is gone before it is asked for again. Change: the starts of listed endpoints are bounded by the list; 2,000 starts and 1,000 ids are kept of what the list has dropped, what was dropped longest ago is evicted.

--- a/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
+++ b/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
@@ -25,8 +25,8 @@
 public final class EndpointRegistry {
 
     private static final Logger LOG = System.getLogger(EndpointRegistry.class.getName());
-    /** The maximum number of cache ids that are remembered, also after their removal from the list. */
-    private static final int MAX_KNOWN_CACHES = 1000;
+    /** The maximum number of ids that are remembered of caches that the list has dropped. */
+    private static final int MAX_DROPPED_CACHES = 1000;
 
     private final Map<String, ListedEndpoint> listed = new LinkedHashMap<>();
     private final StartTimes startTimes;
@@ -38,13 +38,13 @@
     private final ProxyCore proxy;
     private final OutageRegistry outages;
     private final int originKind;
-    /** Caches that were ever listed: an operator may disable or enable one that is not in the current list. */
-    private final Map<String, Boolean> knownCaches = new LinkedHashMap<>(64, 0.75f, true) {
+    /** Caches that the list has dropped, the latest ones: an operator may disable or enable one of them, too. */
+    private final Map<String, Boolean> droppedCaches = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_KNOWN_CACHES;
+            return size() > MAX_DROPPED_CACHES;
         }
     };
 
@@ -63,9 +63,14 @@
         this.startTimes = new StartTimes(clock.micros(), clock.unixMillis());
     }
 
-    /** Returns whether a cache with this id was ever listed. */
+    /** Returns whether a cache with this id is listed, or was until lately. */
     public boolean isKnownCache(String id) {
-        return knownCaches.containsKey(id);
+        ListedEndpoint endpoint = listed.get(id);
+        return endpoint == null ? droppedCaches.containsKey(id) : isCache(endpoint);
+    }
+
+    private boolean isCache(ListedEndpoint endpoint) {
+        return endpoint.member().kind() != originKind;
     }
 
     /** Returns whether operators have disabled a cache. */
@@ -138,7 +143,7 @@
         known.events().forEach(this::observeTimestamps);
         for (DiscoveryEvent event : known.events()) {
             if (event instanceof EndpointListChanged list) {
-                updateList(list, true);
+                updateList(list, true).forEach(this::forgetUnlisted);
             } else if (event instanceof UnusableEvent unusable) {
                 logUnusable(unusable);
             }
@@ -199,9 +204,9 @@
      * @return the ids of endpoints that must get no more requests
      */
     private Set<String> updateList(EndpointListChanged list, boolean first) {
-        Set<String> unavailable = new HashSet<>();
+        Map<String, ListedEndpoint> previous = list.full() ? Map.copyOf(listed) : Map.of();
+        Set<String> unavailable = new HashSet<>(previous.keySet());
         if (list.full()) {
-            unavailable.addAll(listed.keySet());
             listed.clear();
         }
         for (ListedEndpoint endpoint : list.endpoints()) {
@@ -215,6 +220,7 @@
             }
             updateEndpoint(endpoint);
         }
+        previous.values().stream().filter(endpoint -> !listed.containsKey(endpoint.id())).forEach(this::recordDropped);
         return unavailable;
     }
 
@@ -223,17 +229,22 @@
     }
 
     private void updateEndpoint(ListedEndpoint endpoint) {
-        if (endpoint.member().kind() != originKind) {
-            knownCaches.put(endpoint.id(), true);
-        }
         if (endpoint.member().availability() == Availability.REMOVED) {
             listed.remove(endpoint.id());
+            recordDropped(endpoint);
         } else {
+            droppedCaches.remove(endpoint.id());
             listed.put(endpoint.id(), endpoint);
             pool.updateMember(endpoint.id(), endpoint.address(), endpoint.startedUnixMs());
         }
     }
 
+    private void recordDropped(ListedEndpoint endpoint) {
+        if (isCache(endpoint)) {
+            droppedCaches.put(endpoint.id(), true);
+        }
+    }
+
     /**
      * Withdraws requests that are queued for unavailable endpoints, or for fills from them. The routing module must
      * already have the new list, as it reroutes these requests.
@@ -242,10 +253,13 @@
         if (!unavailable.isEmpty()) {
             pool.withdraw(unavailable);
         }
-        for (String id : unavailable) {
-            if (!listed.containsKey(id)) {
-                pool.removeMember(id);
-            }
+        unavailable.forEach(this::forgetUnlisted);
+    }
+
+    private void forgetUnlisted(String id) {
+        if (!listed.containsKey(id)) {
+            pool.removeMember(id);
+            startTimes.drop(id);
         }
     }
 
--- a/src/main/java/clovermill/controlplane/discovery/StartTimes.java
+++ b/src/main/java/clovermill/controlplane/discovery/StartTimes.java
@@ -1,5 +1,6 @@
 package clovermill.controlplane.discovery;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -16,17 +17,20 @@
     static final long WALL_CLOCK_MARGIN_MS = 10_000;
     /** The maximum age that is accepted from the wall clock alone: the clock may have been stepped by an hour. */
     static final long MAX_WALL_CLOCK_AGE_MS = 1_800_000;
-    /** The maximum number of starts remembered, above any director's endpoints; an evicted one would count as new. */
-    private static final int MAX_STARTS = 2_000;
+    /** The maximum number of remembered starts of endpoints that the list has dropped; an evicted one counts as new. */
+    private static final int MAX_DROPPED_STARTS = 2_000;
 
     private record Start(long timestampUnixMs, long startedUs) {}
 
-    private final Map<String, Start> starts = new LinkedHashMap<>(64, 0.75f, true) {
+    /** The starts of the listed endpoints. */
+    private final Map<String, Start> starts = new HashMap<>();
+    /** The starts of endpoints that the list has dropped, the one dropped first is the first evicted. */
+    private final Map<String, Start> droppedStarts = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Start> eldest) {
-            return size() > MAX_STARTS;
+            return size() > MAX_DROPPED_STARTS;
         }
     };
     private final long processStartUs;
@@ -70,14 +74,23 @@
         if (timestampUnixMs <= 0) {
             return 0;
         }
-        Start start = starts.get(id);
+        Start dropped = droppedStarts.remove(id);
+        Start start = starts.getOrDefault(id, dropped);
         if (start == null || start.timestampUnixMs != timestampUnixMs) {
             start = new Start(timestampUnixMs, Math.max(1, nowUs - ageMs * 1000));
-            starts.put(id, start);
         }
+        starts.put(id, start);
         return start.startedUs;
     }
 
+    /** Records that the list has dropped an endpoint, which may be listed again. */
+    void drop(String id) {
+        Start start = starts.remove(id);
+        if (start != null) {
+            droppedStarts.put(id, start);
+        }
+    }
+
     private long initialAgeMs(long timestampUnixMs, long nowUs) {
         long byOtherTimestampsMs = latestTimestampUnixMs == Long.MIN_VALUE ? 0
                 : latestTimestampUnixMs - timestampUnixMs;
