No recorded enable call is forgotten, or it would count as a new start

Cause: OutageRegistry remembered 1,000 calls, "no director has as many caches", and a merge takes a call that is not remembered for one made now. Change: what the last merge found recorded is remembered, 1,000 calls beside it, the oldest forgotten first. A merge takes all stamps at once, so that it knows their number. OutageFolderTest calls the merge by its new signature; its assertions are as before.

--- a/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
+++ b/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
@@ -118,7 +118,7 @@
                 enable(id, enabledAt.getOrDefault(id, 0L));
             }
         }
-        enabledAt.forEach((id, timestamp) -> outages.mergeEnableCall(id, timestamp, enabledUs(timestamp)));
+        outages.mergeEnableCalls(enabledAt, this::enabledUs);
         outagesMerged = true;
     }
 
--- a/src/main/java/clovermill/controlplane/outage/OutageRegistry.java
+++ b/src/main/java/clovermill/controlplane/outage/OutageRegistry.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 
 /**
  * The caches that operators have disabled, and the last enable call for each of the others. Does no I/O and reads no
@@ -11,15 +12,14 @@
  */
 public final class OutageRegistry {
 
-    /**
-     * Maximum number of remembered enable calls. No director has as many caches, so only calls for caches that were
-     * started long ago are forgotten.
-     */
-    private static final int MAX_ENABLE_CALLS = 1000;
+    /** Maximum number of remembered enable calls beside the recorded ones; the oldest are forgotten. */
+    private static final int MAX_OTHER_CALLS = 1000;
 
     private final Set<String> disabled = new HashSet<>();
     /** The last enable call for each cache, the oldest first. */
     private final Map<String, EnableCall> enableCalls = new LinkedHashMap<>();
+    /** The number of calls that the processes of this director had recorded at the last merge. */
+    private int recordedCalls;
 
     /** An enable call: the stamp that identifies it, and its monotonic time. */
     private record EnableCall(long stampUnixMs, long enabledUs) {}
@@ -45,13 +45,20 @@
     }
 
     /**
-     * Merges an enable call that another process has recorded. The stamp of the last known call identifies the same
-     * call; any other stamp, also an earlier one of a wall clock that was stepped, is a further call. Merging never
-     * moves a cache's start to an earlier time.
+     * Merges the enable calls that the processes of this director have recorded. The stamp of the last known call
+     * identifies the same call; any other stamp, also an earlier one of a wall clock that was stepped, is a further
+     * call. Merging never moves a cache's start to an earlier time. None of these calls is forgotten before the next
+     * merge, which would take it for a further one.
      *
-     * @param enabledUs the time of the call on the monotonic clock
+     * @param stampsUnixMs the stamp of the last call for each cache
+     * @param enabledUs returns the time, on the monotonic clock, of a call with a stamp
      */
-    public void mergeEnableCall(String id, long stampUnixMs, long enabledUs) {
+    public void mergeEnableCalls(Map<String, Long> stampsUnixMs, LongUnaryOperator enabledUs) {
+        recordedCalls = stampsUnixMs.size();
+        stampsUnixMs.forEach((id, stampUnixMs) -> merge(id, stampUnixMs, enabledUs.applyAsLong(stampUnixMs)));
+    }
+
+    private void merge(String id, long stampUnixMs, long enabledUs) {
         EnableCall known = enableCalls.get(id);
         if (known == null) {
             remember(id, new EnableCall(stampUnixMs, enabledUs));
@@ -63,7 +70,7 @@
     private void remember(String id, EnableCall call) {
         enableCalls.remove(id);
         enableCalls.put(id, call);
-        if (enableCalls.size() > MAX_ENABLE_CALLS) {
+        while (enableCalls.size() > recordedCalls + MAX_OTHER_CALLS) {
             enableCalls.remove(enableCalls.keySet().iterator().next());
         }
     }
--- a/src/test/java/clovermill/controlplane/outage/OutageFolderTest.java
+++ b/src/test/java/clovermill/controlplane/outage/OutageFolderTest.java
@@ -214,13 +214,13 @@
         assertThat(outages.isDisabled("s-1")).isTrue();
         assertThat(outages.enable("s-1", 7_000, 500)).isTrue();
         assertThat(outages.enable("s-1", 7_100, 600)).isFalse();
-        outages.mergeEnableCall("s-1", 7_000, 650);
+        outages.mergeEnableCalls(Map.of("s-1", 7_000L), stamp -> 650);
         assertThat(outages.startedUs("s-1", 0)).as("same enable call again").isEqualTo(500);
         assertThat(outages.startedUs("s-1", 700)).isEqualTo(700);
         assertThat(outages.startedUs("s-2", 0)).isZero();
-        outages.mergeEnableCall("s-1", 6_000, 400);
+        outages.mergeEnableCalls(Map.of("s-1", 6_000L), stamp -> 400);
         assertThat(outages.startedUs("s-1", 0)).as("an enable call never moves the start back").isEqualTo(500);
-        outages.mergeEnableCall("s-1", 3_000, 800);
+        outages.mergeEnableCalls(Map.of("s-1", 3_000L), stamp -> 800);
         assertThat(outages.startedUs("s-1", 0)).as("further enable call after the wall clock was stepped back")
                 .isEqualTo(800);
     }
@@ -229,7 +229,7 @@
     @Test
     void repeatedlyEnabledCacheCountsAsJustStartedEvenWithTheSameStamp() {
         OutageRegistry outages = new OutageRegistry();
-        outages.mergeEnableCall("s-1", 7_000, 500);
+        outages.mergeEnableCalls(Map.of("s-1", 7_000L), stamp -> 500);
         outages.disable("s-1");
         assertThat(outages.enable("s-1", 7_000, 900)).isTrue();
         assertThat(outages.startedUs("s-1", 0)).isEqualTo(900);
