Purges beyond 20,000 are merged into one of all objects, so that the log has a bound

Cause: PurgeLog was bounded by time alone; docs/CAPACITY.md says "no bound by count". Change: beyond 20,000 (two megabytes) the purges known longest become one purge of all objects. Copies then count as older than they are, never as newer: hits are given up, no purge is. Shown: PurgeLogTest.storeOfPurgesStaysWithinItsNumber, red without the bound (21 of 20 allowed after the 21st purge); aBoundedLogTrustsNoCopyThatAnUnboundedOneDoesNot over 200 random series; ActionDigestTest as before.

--- a/src/main/java/clovermill/routing/CacheContentsIndex.java
+++ b/src/main/java/clovermill/routing/CacheContentsIndex.java
@@ -20,9 +20,11 @@
     private static final long PASS_COUNT_HALVING_US = 10_000_000;
     /** Bytes of a part without its copies and passes: the objects of its entry, its key and its place in the map. */
     private static final long PART_BYTES = 200;
+    /** Maximum number of purges that are kept apart, some two megabytes; see {@link PurgeLog} for what is beyond. */
+    private static final int MAX_PURGES = 20_000;
 
     private final RoutingContext context;
-    private final PurgeLog purges = new PurgeLog();
+    private final PurgeLog purges = new PurgeLog(MAX_PURGES);
     private final WeightedLruMap<PartKey, PartEntry> parts;
 
     /** Creates an empty index, the parts of which take at most {@code maxBytes} of heap. */
--- a/src/test/java/clovermill/prove/capacity/StateProof.java
+++ b/src/test/java/clovermill/prove/capacity/StateProof.java
@@ -188,7 +188,7 @@
                     entries <= rate * (ENTRY_LIFETIME_US + PURGE_WITHIN_US) / SECOND_US + 2);
         }
         fit("purge", points, "B");
-        PurgeLog hour = new PurgeLog();
+        PurgeLog hour = new PurgeLog(Integer.MAX_VALUE);
         double bytes = Heap.retainedBy(() -> {
             for (long i = 0; i < PURGES_PER_HOUR; i++) {
                 hour.add(i, 0, i, 0, ENTRY_LIFETIME_US + PURGE_WITHIN_US);
@@ -200,7 +200,7 @@
     }
 
     private static PurgeLog purgeLogAt(double rate) {
-        PurgeLog log = new PurgeLog();
+        PurgeLog log = new PurgeLog(Integer.MAX_VALUE);
         Random random = new Random(7);
         for (int i = 0; i < rate * 200; i++) {
             long nowUs = (long) (i / rate * SECOND_US);
