Changes of the list in one poll are one event; the ring and the pool look at what changed

Cause: each change was an event of its own for the router; the ring looked each member up in a map; the pool copied all its members for each event that withdraws requests, though few have connections. Change: changes that follow each other in a poll are merged, in order (full lists and purges stay where they are); the ring keeps the last list and looks up only what lies between the equal beginnings and ends of both; the pool keeps the members that have connections apart and goes over those. Shown: EndpointHistoryTest.changesThatFollowEachOtherInAPollAreOneEventOfTheRouter, red without the change (1,004 events of 4); HashRingTest, EndpointSetTest, UpstreamPoolTest and ActionDigestTest as before.

--- a/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
+++ b/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
@@ -167,13 +167,13 @@
         }
     }
 
-    /** Applies the events of a poll in order. */
+    /** Applies the events of a poll in order; changes of the list that follow each other are applied as one. */
     public void apply(DiscoveryEvents polled) {
         boolean first = polled.previousAnswerUs() == DiscoveryEvents.NEVER_ANSWERED_US;
         if (first) {
             polled.events().forEach(this::observeTimestamps);
         }
-        for (DiscoveryEvent event : polled.events()) {
+        for (DiscoveryEvent event : EndpointListChanged.mergeChanges(polled.events())) {
             if (event instanceof EndpointListChanged list) {
                 applyList(list, first);
             } else if (event instanceof CopiesPurged purge) {
--- a/src/main/java/clovermill/dataplane/upstream/MemberConnections.java
+++ b/src/main/java/clovermill/dataplane/upstream/MemberConnections.java
@@ -39,6 +39,10 @@
         connections.remove(connection);
     }
 
+    boolean isEmpty() {
+        return connections.isEmpty();
+    }
+
     /** Returns the connection added last. */
     UpstreamConnection newest() {
         return connections.get(connections.size() - 1);
--- a/src/main/java/clovermill/dataplane/upstream/UpstreamPool.java
+++ b/src/main/java/clovermill/dataplane/upstream/UpstreamPool.java
@@ -56,6 +56,8 @@
     private final Budget budget;
     private final Limits limits;
     private final Map<String, MemberConnections> members = new HashMap<>();
+    /** Those of the members that have connections, which are few where there are many members. */
+    private final Map<String, MemberConnections> connectedMembers = new HashMap<>();
     /** Attempts and probes in progress that wait for a dial. */
     private final Set<DelayedDial> delayedDials = new LinkedHashSet<>();
     private int maxConnections;
@@ -79,7 +81,7 @@
     /** Sets the limit of open connections; idle connections above it are closed. */
     public void setMaxConnections(int max) {
         maxConnections = max;
-        for (MemberConnections member : List.copyOf(members.values())) {
+        for (MemberConnections member : List.copyOf(connectedMembers.values())) {
             for (UpstreamConnection connection : member.snapshot()) {
                 if (openConnections > maxConnections) {
                     connection.closeIfIdle();
@@ -102,6 +104,7 @@
 
     /** Removes a member and ends its queued exchanges; those that have begun may still be answered. */
     public void removeMember(String member) {
+        connectedMembers.remove(member);
         MemberConnections removed = members.remove(member);
         if (removed != null) {
             removed.retire();
@@ -113,7 +116,7 @@
      * withdrawn request to another member does not count against that member.
      */
     public void withdraw(Set<String> drained) {
-        for (Map.Entry<String, MemberConnections> member : List.copyOf(members.entrySet())) {
+        for (Map.Entry<String, MemberConnections> member : List.copyOf(connectedMembers.entrySet())) {
             boolean isDrained = drained.contains(member.getKey());
             member.getValue().withdraw(each -> isDrained || each.isFilledFrom(drained),
                     isDrained ? Result.CONNECT_FAILED : Result.NOT_SENT);
@@ -123,7 +126,7 @@
 
     /** Ends all queued exchanges for purged objects, which could be answered from a copy older than the purge. */
     public void withdraw(Predicate<ClientRequest> purged) {
-        for (MemberConnections member : List.copyOf(members.values())) {
+        for (MemberConnections member : List.copyOf(connectedMembers.values())) {
             member.withdraw(each -> each.matches(purged), Result.NOT_SENT);
         }
         withdrawDelayed(each -> each.matches(purged));
@@ -185,7 +188,7 @@
         MemberConnections member = members.get(request.member());
         UpstreamConnection connection;
         try {
-            connection = member == null ? null : connectionFor(member, request.id());
+            connection = member == null ? null : connectionFor(request.member(), member, request.id());
         } catch (IOException failure) {
             if (!SocketErrors.isOfPeer(failure)) {
                 return null;
@@ -211,14 +214,15 @@
     /**
      * Returns the best connection for a request, dialling if necessary; null if none is available within the limits.
      */
-    private UpstreamConnection connectionFor(MemberConnections member, String id) throws IOException {
+    private UpstreamConnection connectionFor(String memberId, MemberConnections member, String id)
+            throws IOException {
         UpstreamConnection best = member.best(id, limits.streamsPerConnection());
         int maxForMember = Math.max(MIN_CONNECTIONS_PER_MEMBER, maxConnections / MEMBER_SHARE_DIVISOR);
         if (openConnections >= maxConnections || !member.needsFurtherConnection(best, maxForMember)) {
             return best;
         }
         try {
-            dial(member);
+            dial(memberId, member);
         } catch (IOException failure) {
             if (best == null) {
                 throw failure;
@@ -228,18 +232,22 @@
         return best != null ? best : member.newest(); // no request waits for a dial unless necessary
     }
 
-    private void dial(MemberConnections member) throws IOException {
+    private void dial(String memberId, MemberConnections member) throws IOException {
         dialer.connect(member.address(), connection -> {
             UpstreamConnection added = new UpstreamConnection(this, connection, budget);
             member.add(added);
             return added;
         });
         openConnections++;
+        connectedMembers.put(memberId, member);
     }
 
     void connectionClosed(UpstreamConnection connection) {
         openConnections--;
-        members.values().forEach(member -> member.remove(connection));
+        connectedMembers.values().removeIf(member -> {
+            member.remove(connection);
+            return member.isEmpty();
+        });
     }
 
     Deadline addDialTimeout(Runnable expired) {
--- a/src/main/java/clovermill/routing/stats/HashRing.java
+++ b/src/main/java/clovermill/routing/stats/HashRing.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ObjIntConsumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.LongStream;
@@ -29,59 +30,70 @@
     private long[] points = {};
     private Object[] owners = {};
     private int size;
-    /** What the ring has of each member. */
-    private final Map<T, Share> shares = new HashMap<>();
-    private long listCount;
-
-    /** The number of a member's virtual nodes, and the last list that had the member. */
-    private static final class Share {
-        private int nodes;
-        private long list;
-    }
+    /** The members of the last list, and the number of virtual nodes of each. */
+    private List<T> members = List.of();
+    private int[] shares = {};
 
     /**
      * Replaces all members. Hashes only those whose number of virtual nodes changes; otherwise a list of some hundred
      * members that reports its changes one by one would have all of them hashed each time.
      */
-    public void setMembers(List<T> members, Function<T, String> id, ToDoubleFunction<T> weight) {
+    public void setMembers(List<T> listed, Function<T, String> id, ToDoubleFunction<T> weight) {
+        LongStream.Builder removed = LongStream.builder();
+        int[] present = presentShares(listed, (gone, share) -> points(id.apply(gone), 0, share).forEach(removed));
         double totalWeight = 0;
-        for (T member : members) {
+        for (T member : listed) {
             totalWeight += weight.applyAsDouble(member);
         }
-        listCount++;
-        LongStream.Builder removed = LongStream.builder();
         List<VirtualNode<T>> added = new ArrayList<>();
-        for (T member : members) {
+        for (int i = 0; i < present.length; i++) {
+            T member = listed.get(i);
+            int from = present[i];
             int wanted = (int) Math.max(1,
-                    Math.round(VIRTUAL_NODES * weight.applyAsDouble(member) * members.size() / totalWeight));
-            Share share = shares.computeIfAbsent(member, key -> new Share());
-            share.list = listCount;
-            if (wanted < share.nodes) {
-                points(id.apply(member), wanted, share.nodes).forEach(removed);
-            } else if (wanted > share.nodes) {
-                points(id.apply(member), share.nodes, wanted)
-                        .forEach(point -> added.add(new VirtualNode<>(point, member)));
+                    Math.round(VIRTUAL_NODES * weight.applyAsDouble(member) * present.length / totalWeight));
+            if (wanted < from) {
+                points(id.apply(member), wanted, from).forEach(removed);
+            } else if (wanted > from) {
+                points(id.apply(member), from, wanted).forEach(point -> added.add(new VirtualNode<>(point, member)));
             }
-            share.nodes = wanted;
-        }
-        if (shares.size() > members.size()) {
-            removeUnlisted(id, removed);
+            present[i] = wanted;
         }
+        members = List.copyOf(listed);
+        shares = present;
         // Removed first: a new member may have the id, and thus the points, of a removed one.
         remove(removed.build().sorted().toArray());
         added.sort(Comparator.comparingLong(VirtualNode::point));
         insert(added);
     }
 
-    /** Removes the shares of members that the last list did not have, and adds their points to {@code removed}. */
-    private void removeUnlisted(Function<T, String> id, LongStream.Builder removed) {
-        shares.entrySet().removeIf(entry -> {
-            Share share = entry.getValue();
-            if (share.list < listCount) {
-                points(id.apply(entry.getKey()), 0, share.nodes).forEach(removed);
-            }
-            return share.list < listCount;
-        });
+    /**
+     * Returns the number of virtual nodes that the ring has of each listed member, and passes on those members with
+     * theirs that are not listed. Looks up only what lies between the equal beginnings and ends of both lists.
+     */
+    private int[] presentShares(List<T> listed, ObjIntConsumer<T> gone) {
+        int shorter = Math.min(members.size(), listed.size());
+        int head = 0;
+        while (head < shorter && members.get(head) == listed.get(head)) {
+            head++;
+        }
+        int tail = 0;
+        while (tail < shorter - head
+                && members.get(members.size() - 1 - tail) == listed.get(listed.size() - 1 - tail)) {
+            tail++;
+        }
+        Map<T, Integer> between = new HashMap<>();
+        for (int i = head; i < members.size() - tail; i++) {
+            between.put(members.get(i), shares[i]);
+        }
+        int[] present = new int[listed.size()];
+        System.arraycopy(shares, 0, present, 0, head);
+        System.arraycopy(shares, members.size() - tail, present, listed.size() - tail, tail);
+        for (int i = head; i < listed.size() - tail; i++) {
+            Integer share = between.remove(listed.get(i));
+            present[i] = share == null ? 0 : share;
+        }
+        between.forEach(gone::accept);
+        return present;
     }
 
     /** Returns the points of a member's virtual nodes {@code from} to {@code to}, exclusive. */
@@ -148,7 +160,7 @@
         int at = Arrays.binarySearch(points, 0, size, point);
         int first = at < 0 ? -at - 1 : at;
         Set<Object> rejected = Set.of();
-        for (int i = first; i < first + size && rejected.size() < shares.size(); i++) {
+        for (int i = first; i < first + size && rejected.size() < members.size(); i++) {
             @SuppressWarnings("unchecked") // only members are stored
             T member = (T) owners[i < size ? i : i - size];
             if (!rejected.contains(member)) {
--- a/src/test/java/clovermill/controlplane/discovery/EndpointHistoryTest.java
+++ b/src/test/java/clovermill/controlplane/discovery/EndpointHistoryTest.java
@@ -7,7 +7,12 @@
 import clovermill.controlplane.outage.OutageRegistry;
 import clovermill.dataplane.proxy.ProxyCore;
 import clovermill.dataplane.upstream.UpstreamPool;
+import clovermill.routing.api.Availability;
+import clovermill.routing.api.Event;
+import clovermill.routing.api.ListScope;
+import clovermill.routing.api.Member;
 import clovermill.routing.api.MembersChanged;
+import clovermill.routing.api.Purge;
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
@@ -29,6 +34,7 @@
 
     private final ManualClock clock = new ManualClock();
     private final List<Long> startsUs = new ArrayList<>();
+    private final List<Event> routerEvents = new ArrayList<>();
     private Config config;
     private EndpointRegistry registry;
 
@@ -40,6 +46,7 @@
         UpstreamPool pool = new UpstreamPool(new EventLoop(clock, deadlines), clock, deadlines, new Budget(1000),
                 new UpstreamPool.Limits(1, 1, 1, 1));
         ProxyCore core = new ProxyCore((atUs, event, out) -> {
+            routerEvents.add(event);
             if (event instanceof MembersChanged list) {
                 list.members().forEach(member -> startsUs.add(member.startedUs()));
             }
@@ -117,4 +124,26 @@
                 .isEqualTo(1_000);
         assertThat(registry.isKnownCache("never")).isFalse();
     }
+
+    /** Guards against a poll with the changes of thousands of caches that had the ring made anew for each. */
+    @Test
+    void changesThatFollowEachOtherInAPollAreOneEventOfTheRouter() throws Exception {
+        String purge = "{\"cursor\":9,\"drop\":{\"family\":17,\"when\":" + clock.trueMs() + "}}";
+        String drains = IntStream.range(0, 1_000).mapToObj(i -> change("s-" + i, "draining", 0))
+                .collect(Collectors.joining(","));
+        poll(fullList(0, MOST_CACHES, 0) + "," + drains + "," + change("s-7", "gone", 0) + "," + purge + ","
+                + change("s-7", "ready", 0));
+        assertThat(routerEvents).hasSize(4);
+        assertThat(routerEvents.get(0)).isInstanceOfSatisfying(MembersChanged.class,
+                list -> assertThat(list.scope()).isEqualTo(ListScope.FULL));
+        assertThat(routerEvents.get(1)).isInstanceOfSatisfying(MembersChanged.class, list -> {
+            assertThat(list.scope()).isEqualTo(ListScope.CHANGES);
+            assertThat(list.members()).hasSize(1_001);
+            assertThat(list.members().get(1_000).availability()).isEqualTo(Availability.REMOVED);
+        });
+        assertThat(routerEvents.get(2)).isInstanceOf(Purge.class);
+        assertThat(routerEvents.get(3)).isInstanceOfSatisfying(MembersChanged.class,
+                list -> assertThat(list.members()).extracting(Member::id).containsExactly("s-7"));
+        assertThat(registry.isKnownCache("s-7")).isTrue();
+    }
 }
