--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -3,6 +3,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
@@ -49,13 +50,24 @@
     }
 
     private final Socket socket;
+    private final int bytesPerS;
     private final Map<Integer, CompletableFuture<Answer>> waiting = new ConcurrentHashMap<>();
     private volatile boolean told;
     private volatile boolean ended;
     private int nextStream = 1;
 
     public Client(int port) throws IOException {
-        socket = new Socket(InetAddress.getByName("127.0.0.1"), port);
+        this(port, 0);
+    }
+
+    /** Connects; reads at most so many bytes a second, 0 for any number. */
+    public Client(int port, int bytesPerS) throws IOException {
+        this.bytesPerS = bytesPerS;
+        socket = new Socket();
+        if (bytesPerS > 0) {
+            socket.setReceiveBufferSize(1 << 16);
+        }
+        socket.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
         socket.setTcpNoDelay(true);
         Kit.daemon("client", this::read);
     }
@@ -140,7 +152,7 @@
             while (true) {
                 int length = Integer.reverseBytes(in.readInt());
                 byte[] bytes = new byte[length];
-                in.readFully(bytes);
+                readFully(in, bytes);
                 ByteBuffer frame = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
                 int type = frame.get();
                 int stream = frame.getInt();
@@ -171,6 +183,18 @@
         }
     }
 
+    /** Reads in steps of a fiftieth of a second, if the pace is bounded. */
+    private void readFully(DataInputStream in, byte[] bytes) throws IOException {
+        int step = bytesPerS > 0 ? Math.max(1, bytesPerS / 50) : bytes.length;
+        for (int at = 0; at < bytes.length; at += step) {
+            int count = Math.min(step, bytes.length - at);
+            in.readFully(bytes, at, count);
+            if (bytesPerS > 0) {
+                Kit.sleep(1000L * count / bytesPerS);
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
