--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -26,6 +26,9 @@
     /** No answer within the time that the caller waited. */
     public static final int NOTHING = -2;
 
+    /** The longest frame that the page allows. */
+    private static final int MAX_LENGTH = 262_144;
+
     /** An answer; {@code code} is one of the constants above. */
     public static final class Answer {
         public final int code;
@@ -54,6 +57,8 @@
     private final Map<Integer, CompletableFuture<Answer>> waiting = new ConcurrentHashMap<>();
     private volatile boolean told;
     private volatile boolean ended;
+    /** Why the connection has ended. */
+    private volatile String reason = "";
     private int nextStream = 1;
 
     public Client(int port) throws IOException {
@@ -77,6 +82,18 @@
         return told || ended;
     }
 
+    public String reason() {
+        return reason;
+    }
+
+    private void closeQuietly() {
+        try {
+            socket.close();
+        } catch (IOException closedAlready) {
+            // nothing is left to be closed
+        }
+    }
+
     public int open() {
         return waiting.size();
     }
@@ -151,6 +168,9 @@
         try (DataInputStream in = new DataInputStream(socket.getInputStream())) {
             while (true) {
                 int length = Integer.reverseBytes(in.readInt());
+                if (length < 5 || length > MAX_LENGTH) {
+                    throw new IOException("a frame of " + length + " bytes");
+                }
                 byte[] bytes = new byte[length];
                 readFully(in, bytes);
                 ByteBuffer frame = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
@@ -177,7 +197,9 @@
                 }
             }
         } catch (IOException | RuntimeException closed) {
+            reason = closed.toString();
             ended = true;
+            closeQuietly();
             waiting.values().forEach(each -> each.complete(new Answer(ENDED, Map.of(), new byte[0])));
             waiting.clear();
         }
--- a/review/standins-2/Director.java
+++ b/review/standins-2/Director.java
@@ -42,6 +42,18 @@
 
     /** Starts a director with a configuration whose {@code $LISTEN} is replaced, and waits until it is ready. */
     public static Director start(String name, String configuration) throws Exception {
+        for (int attempt = 1;; attempt++) {
+            try {
+                return startOnce(name, configuration);
+            } catch (IllegalStateException failed) {
+                if (attempt == 3) { // a free port may be taken before it is used
+                    throw failed;
+                }
+            }
+        }
+    }
+
+    private static Director startOnce(String name, String configuration) throws Exception {
         int port = Kit.freePort();
         Path config = folder().resolve(name + ".json");
         Files.writeString(config, configuration.replace("$LISTEN", "127.0.0.1:" + port));
--- a/review/standins-2/OrderTwice.java
+++ b/review/standins-2/OrderTwice.java
@@ -44,7 +44,9 @@
                 Settings.member("p-1", parent.address, "north", "parent", 2, "ready", 20, 0),
                 Settings.member("o-1", origin.address, "north", "origin", 3, "ready", 1, 0)));
         Director director =
-                Director.start("n1", Settings.configuration(channel.address(), channel.known(), ORDER));
+                Director.start("n1", Settings.configuration(channel.address(), channel.known(), ORDER)
+                        .replace("\"second-copies\":true", "\"second-copies\":false")
+                        .replace("\"max-retry-after-us\":500000", "\"max-retry-after-us\":2000000"));
         for (int i = 0; i < ORDERS; i++) {
             order(director);
             Kit.sleep(500);
--- a/review/standins-2/Server.java
+++ b/review/standins-2/Server.java
@@ -54,7 +54,19 @@
         /** Writes an answer, unless the request was given up. */
         public void answer(String word, String fieldText, byte[] bytes) throws IOException {
             if (!givenUp()) {
-                link.write(id + " " + word + " " + fieldText + " " + bytes.length + "\r\n", bytes);
+                link.write((id + " " + word + " " + fieldText + " " + bytes.length + "\r\n").getBytes(StandardCharsets.UTF_8),
+                        bytes);
+            }
+        }
+
+        /** As {@link #answer}, with field bytes that need not be text. */
+        public void answerRaw(String word, byte[] fieldBytes, byte[] bytes) throws IOException {
+            if (!givenUp()) {
+                ByteArrayOutputStream head = new ByteArrayOutputStream();
+                head.writeBytes((id + " " + word + " ").getBytes(StandardCharsets.UTF_8));
+                head.writeBytes(fieldBytes);
+                head.writeBytes((" " + bytes.length + "\r\n").getBytes(StandardCharsets.UTF_8));
+                link.write(head.toByteArray(), bytes);
             }
         }
 
@@ -74,9 +86,9 @@
             this.socket = socket;
         }
 
-        synchronized void write(String head, byte[] bytes) throws IOException {
+        synchronized void write(byte[] head, byte[] bytes) throws IOException {
             ByteArrayOutputStream all = new ByteArrayOutputStream();
-            all.writeBytes(head.getBytes(StandardCharsets.UTF_8));
+            all.writeBytes(head);
             all.writeBytes(bytes);
             all.writeBytes("\r\n".getBytes(StandardCharsets.UTF_8));
             socket.getOutputStream().write(all.toByteArray());
@@ -123,7 +135,8 @@
                         behaviour.handle(new Want(this, words[1], fields(words[2]), body, link));
                     }
                     case "never_mind" -> link.givenUp.add(words[1]);
-                    case "there", "busy" -> link.write(words[1] + " FIT - 0\r\n", new byte[0]);
+                    case "there", "busy" -> link.write((words[1] + " FIT - 0\r\n").getBytes(StandardCharsets.UTF_8),
+                            new byte[0]);
                     default -> {
                         return;
                     }
