Lengths in a client's frame come from the encoded bytes

Cause: Frames.responseHead counted a field in UTF-16 units and wrote it as US-ASCII. A character of four UTF-8 bytes is two units and was written as one question mark, so the frame was a byte shorter than its length. Ruled out: noise that shifts the cache's connection (it closes at the missing line end, the client's frames stay whole) and bytes that are not UTF-8 (one unit, one question mark). One sound answer with F1 A1 A2 A3 in its tag brings the symptom every time. Change: a text is encoded once, as UTF-8 as it is read, and its length is that of the bytes; a text that its length field cannot count is refused.

--- a/src/main/java/clovermill/dataplane/server/Frames.java
+++ b/src/main/java/clovermill/dataplane/server/Frames.java
@@ -1,6 +1,7 @@
 package clovermill.dataplane.server;
 
 import clovermill.runtime.net.ProtocolException;
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
@@ -21,14 +22,21 @@
     static final byte REJECTED = 66;
     static final byte FAILED = 69;
 
+    /** Size of the length field. */
+    private static final int LENGTH_BYTES = 4;
+    /** Size of a response's type, stream number and code, which the length field includes. */
+    private static final int RESPONSE_FIXED_BYTES = 6;
+    private static final int NAME_LENGTH_BYTES = 1;
+    private static final int VALUE_LENGTH_BYTES = 2;
+
     private Frames() {}
 
     /** Reads the fields and advances the payload past them. Throws if the payload is too short. */
     static Map<String, String> fields(ByteBuffer payload) throws ProtocolException {
         Map<String, String> fields = new HashMap<>(16);
         for (int i = readNumber(payload, 1); i > 0; i--) {
-            String name = readText(payload, readNumber(payload, 1));
-            fields.put(name, readText(payload, readNumber(payload, 2)));
+            String name = readText(payload, readNumber(payload, NAME_LENGTH_BYTES));
+            fields.put(name, readText(payload, readNumber(payload, VALUE_LENGTH_BYTES)));
         }
         return fields;
     }
@@ -49,21 +57,39 @@
         return new String(bytes, StandardCharsets.UTF_8);
     }
 
-    /** Encodes a response frame without its body, whose length is included in the length field. */
+    /**
+     * Encodes a response frame without its body, whose length is included in the length field.
+     *
+     * @throws IllegalArgumentException if a field is longer than its length can express
+     */
     static ByteBuffer responseHead(int type, long stream, byte code, Map<String, String> fields, int bodyLength) {
-        int size = 7;
-        for (Map.Entry<String, String> field : fields.entrySet()) {
-            size += 3 + field.getKey().length() + field.getValue().length();
-        }
-        ByteBuffer frame = ByteBuffer.allocate(4 + size).order(ByteOrder.LITTLE_ENDIAN);
+        byte[] encodedFields = encode(fields);
+        int size = RESPONSE_FIXED_BYTES + encodedFields.length;
+        ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + size).order(ByteOrder.LITTLE_ENDIAN);
         frame.putInt(size + bodyLength).put((byte) type).putInt((int) stream).put(code);
-        frame.put((byte) fields.size());
+        return frame.put(encodedFields).flip();
+    }
+
+    private static byte[] encode(Map<String, String> fields) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(fields.size());
         for (Map.Entry<String, String> field : fields.entrySet()) {
-            frame.put((byte) field.getKey().length()).put(field.getKey().getBytes(StandardCharsets.US_ASCII));
-            frame.putShort((short) field.getValue().length());
-            frame.put(field.getValue().getBytes(StandardCharsets.US_ASCII));
+            writeText(field.getKey(), NAME_LENGTH_BYTES, out);
+            writeText(field.getValue(), VALUE_LENGTH_BYTES, out);
+        }
+        return out.toByteArray();
+    }
+
+    /** Writes the number of encoded bytes in little-endian order, then these bytes. */
+    private static void writeText(String text, int lengthBytes, ByteArrayOutputStream out) {
+        byte[] encoded = text.getBytes(StandardCharsets.UTF_8);
+        if (encoded.length >= 1 << lengthBytes * Byte.SIZE) {
+            throw new IllegalArgumentException("a field of " + encoded.length + " bytes is too long for a frame");
+        }
+        for (int i = 0; i < lengthBytes; i++) {
+            out.write(encoded.length >> i * Byte.SIZE);
         }
-        return frame.flip();
+        out.writeBytes(encoded);
     }
 
     /** Encodes a frame without payload. */
