A tag that no request could carry is not passed to the client

A client that named the tag as it was given it ("ab=") in its next request got "failed", without an attempt. Change: one definition, LineProtocolWord, for both directions; another tag is left out of the answer. Related paths: after and notmod are the director's own, once, id and key the client's own.

--- a/src/main/java/clovermill/dataplane/server/RequestReader.java
+++ b/src/main/java/clovermill/dataplane/server/RequestReader.java
@@ -1,6 +1,7 @@
 package clovermill.dataplane.server;
 
 import clovermill.dataplane.proxy.ClientRequest;
+import clovermill.dataplane.proxy.LineProtocolWord;
 import clovermill.routing.api.Effect;
 import clovermill.routing.api.RequestClass;
 import java.util.HashMap;
@@ -112,7 +113,7 @@
         if (value == null || value.isEmpty()) {
             return null;
         }
-        if (value.length() > 200 || !value.chars().allMatch(c -> c > ' ' && c < 127 && c != ',' && c != '=')) {
+        if (!LineProtocolWord.isValid(value)) {
             throw new BadRequestException("invalid characters in a field");
         }
         return value;
--- a/src/main/java/clovermill/dataplane/upstream/ResponseFields.java
+++ b/src/main/java/clovermill/dataplane/upstream/ResponseFields.java
@@ -1,5 +1,6 @@
 package clovermill.dataplane.upstream;
 
+import clovermill.dataplane.proxy.LineProtocolWord;
 import clovermill.routing.api.CacheStatus;
 import clovermill.routing.api.Result;
 import clovermill.runtime.net.ProtocolException;
@@ -12,7 +13,7 @@
  * @param notModified whether the client's own copy is valid
  * @param cacheStatus how the cache found the object; {@link CacheStatus#NONE} if it does not report that
  * @param waitedUs the time until a fill's first byte, in microseconds; 0 if it is not reported
- * @param tag the entity tag of the object, or null
+ * @param tag the entity tag of the object; null if there is none that a request could carry
  * @param gauges the load report as text, or null
  */
 record ResponseFields(Result result, boolean notModified, CacheStatus cacheStatus, long waitedUs, String tag,
@@ -38,7 +39,12 @@
      */
     static ResponseFields decode(String word, Map<String, String> fields) throws ProtocolException {
         return new ResponseFields(decodeResult(word), word.equals("KEEP"), decodeCacheStatus(fields.get("res")),
-                decodeTimeUs(fields.get("ttfb")), fields.get("etag"), fields.get("gauges"));
+                decodeTimeUs(fields.get("ttfb")), decodeTag(fields.get("etag")), fields.get("gauges"));
+    }
+
+    /** Returns null for a tag that no request could carry: the client could not return it. */
+    private static String decodeTag(String tag) {
+        return tag != null && LineProtocolWord.isValid(tag) ? tag : null;
     }
 
     private static Result decodeResult(String word) throws ProtocolException {
