A connection is idle only once its client's system has acknowledged the answers

Cause: IdleConnections counted from the moment at which the socket had taken the last byte. The system's buffers hold megabytes; 5 s later the connection was closed, the next request was answered with a reset, and the reset threw away what was unacknowledged. Ruled out: WriteTimeout (10 s, and only while the socket takes nothing) and the further request's own answer: with the scenarios' own clock the connection is whole until 5 s after the last write, and the request reaches no cache. Change: SendBuffer and Connection.requestDeliveryNotice: with the smallest send buffer a selector reports a socket as writable only when the queue is empty, so delivery is an event. Sound by reading: the close behind the client's own end, WriteTimeout, connections to caches. AdminServer: suspected, not shown, left.

--- a/src/main/java/clovermill/dataplane/server/FrameConnection.java
+++ b/src/main/java/clovermill/dataplane/server/FrameConnection.java
@@ -21,6 +21,7 @@
     private final LingeringClose lingeringClose;
     private final long openedUs;
     private boolean announceAfterNextRequest;
+    private boolean closeWhenDelivered;
     private boolean closing;
     private boolean forcedClose;
     private boolean inputEnded;
@@ -55,19 +56,28 @@
     }
 
     /**
-     * Reads the bytes that have arrived, then closes this side if no request is open. Must not be called from
-     * {@link #received}.
+     * Reads the bytes that have arrived, then closes this side if no request is open and the client has its responses.
+     * Must not be called from {@link #received}.
      */
     void closeIfIdle() {
         receiver.resume();
         if (isIdle()) {
             connection.readNow();
             if (connection.isOpen() && isIdle()) {
-                lingeringClose.begin();
+                closeWhenDelivered();
             }
         }
     }
 
+    private void closeWhenDelivered() {
+        closeWhenDelivered = !connection.isDelivered();
+        if (closeWhenDelivered) {
+            connection.requestDeliveryNotice();
+        } else {
+            lingeringClose.begin();
+        }
+    }
+
     private boolean isIdle() {
         return !lingeringClose.hasBegun() && !closing && hasNothingPending() && !receiver.isMidFrame()
                 && !connection.isPaused()
@@ -76,10 +86,11 @@
 
     /**
      * Answers all requests that have arrived and closes this side; the second call closes the connection even if the
-     * client has not read its responses. Has no effect on a lingering close in progress.
+     * client has not read its responses. A lingering close in progress no longer waits for the client to read.
      */
     void forceClose() {
         if (lingeringClose.hasBegun()) {
+            lingeringClose.endOutput();
             return;
         }
         if (forcedClose) {
@@ -128,12 +139,34 @@
             return;
         }
         if (hasNothingPending() && !receiver.isMidFrame()) {
-            context.idle().markIdle(this, context.clock().micros());
+            context.idle().addAnswered(this, context.clock().micros());
         } else {
             context.idle().remove(this);
         }
     }
 
+    /** Closes the connection of a client that does not take its responses, unless it has sent another request. */
+    void closeUndelivered() {
+        connection.readNow();
+        if (connection.isOpen() && hasNothingPending()) {
+            connection.close();
+        }
+    }
+
+    /** Requests that the connection is reported as idle once the client's system has acknowledged all responses. */
+    void requestDeliveryNotice() {
+        connection.requestDeliveryNotice();
+    }
+
+    @Override
+    public void delivered() {
+        lingeringClose.delivered();
+        if (closeWhenDelivered) {
+            closeIfIdle();
+        }
+        context.idle().markDelivered(this, context.clock().micros());
+    }
+
     /**
      * Reads the bytes that have arrived, then closes the connection unless it is in use. A client in the middle of a
      * frame gets an error. Must not be called from {@link #received}.
@@ -154,9 +187,13 @@
         return true;
     }
 
-    /** A request that waits for memory may have been sent completely and must be answered, so it counts as use. */
+    /**
+     * A request that waits for memory may have been sent completely and must be answered, so it counts as use; so do
+     * responses that the client may still be reading.
+     */
     private boolean isInUse() {
-        return !hasNothingPending() || receiver.awaitsMemory() || receiver.hasReceivedFrame() && receiver.isMidFrame();
+        return !hasNothingPending() || !connection.isDelivered() || receiver.awaitsMemory()
+                || receiver.hasReceivedFrame() && receiver.isMidFrame();
     }
 
     /** Sends a deferred shutdown announcement; called when a request has been accepted. */
--- a/src/main/java/clovermill/dataplane/server/FrameServer.java
+++ b/src/main/java/clovermill/dataplane/server/FrameServer.java
@@ -146,7 +146,7 @@
 
     private void removeConnection(FrameConnection connection) {
         connections.remove(connection);
-        idle.remove(connection);
+        idle.removeClosed(connection);
     }
 
     @Override
--- a/src/main/java/clovermill/runtime/net/Connection.java
+++ b/src/main/java/clovermill/runtime/net/Connection.java
@@ -32,6 +32,9 @@
         /** All queued bytes have been written to the socket. */
         default void flushed() {}
 
+        /** Everything sent was acknowledged by the peer's system; see {@link Connection#requestDeliveryNotice}. */
+        default void delivered() {}
+
         /** Queued bytes are left after a write; {@link Connection#retractFrom} may remove those not yet written. */
         default void writeBlocked() {}
 
@@ -52,6 +55,7 @@
     private final Listener acceptedBy;
     private final ConnectionInput input;
     private final WriteQueue output = new WriteQueue();
+    private final SendBuffer sendBuffer;
     private Handler handler;
     private boolean connecting;
     private boolean open = true;
@@ -59,6 +63,8 @@
     /** True if the socket accepted no bytes and everything was retracted: flushed again when it is writable. */
     private boolean flushWhenWritable;
     private boolean closeWhenFlushed;
+    private boolean deliveryRequested;
+    private boolean delivered = true;
 
     /** Creates a connection; {@code acceptedBy} is the listener that accepted it, null for a dialed connection. */
     Connection(EventLoop loop, SocketChannel channel, SelectionKey key, boolean connecting, Listener acceptedBy) {
@@ -67,6 +73,7 @@
         this.key = key;
         this.connecting = connecting;
         this.acceptedBy = acceptedBy;
+        this.sendBuffer = new SendBuffer(channel);
         this.input = new ConnectionInput(channel,
                 acceptedBy != null ? ACCEPTED_READS_PER_TURN : DIALED_READS_PER_TURN);
     }
@@ -111,10 +118,39 @@
             done.run();
             return;
         }
+        endDeliveryRequest();
+        delivered = false;
         output.add(bytes, done);
         requestFlush();
     }
 
+    /**
+     * Returns whether the peer's system is known to have acknowledged everything sent. Until it has, a close may lose
+     * it: if the peer sends more, the system resets the connection and discards what is unacknowledged.
+     */
+    public boolean isDelivered() {
+        return delivered;
+    }
+
+    /**
+     * Requests one call of {@link Handler#delivered} as soon as everything sent is acknowledged; a further send cancels
+     * the request. To be used before {@link #endOutput}; has no effect if {@link #isDelivered}.
+     */
+    public void requestDeliveryNotice() {
+        if (open && !delivered && !deliveryRequested) {
+            deliveryRequested = true;
+            sendBuffer.shrink();
+            updateInterest();
+        }
+    }
+
+    private void endDeliveryRequest() {
+        if (deliveryRequested) {
+            deliveryRequested = false;
+            sendBuffer.restore();
+        }
+    }
+
     /**
      * Removes {@code first} and everything sent after it, unless a byte of {@code first} has been written.
      * {@link Handler#flushing} is called once the socket is writable.
@@ -224,13 +260,16 @@
             return; // closed by another connection's callback after the selection
         }
         try {
+            boolean delivery = deliveryRequested && output.isEmpty() && key.isWritable();
             if (connecting && key.isConnectable()) {
                 finishConnect();
             }
             if (open && key.isReadable()) {
                 input.read(loop.readBuffer());
             }
-            if (open && key.isWritable()) {
+            if (delivery) {
+                reportDelivered();
+            } else if (open && key.isWritable()) {
                 requestFlush();
             }
             updateInterest();
@@ -239,6 +278,15 @@
         }
     }
 
+    /** Reports the delivery, unless the connection was closed or more was sent in this turn. */
+    private void reportDelivered() {
+        if (open && deliveryRequested) {
+            endDeliveryRequest();
+            delivered = true;
+            handler.delivered();
+        }
+    }
+
     private void finishConnect() throws IOException {
         if (channel.finishConnect()) { // false if a signal interrupted the call
             connecting = false;
@@ -292,7 +340,7 @@
             key.interestOps(SelectionKey.OP_CONNECT);
         } else if (open) {
             int readInterest = input.isReadable() ? SelectionKey.OP_READ : 0;
-            int writeInterest = isWriteIdle() ? 0 : SelectionKey.OP_WRITE;
+            int writeInterest = isWriteIdle() && !deliveryRequested ? 0 : SelectionKey.OP_WRITE;
             key.interestOps(readInterest | writeInterest);
         }
     }
--- a/src/test/java/clovermill/director/Scenario.java
+++ b/src/test/java/clovermill/director/Scenario.java
@@ -55,6 +55,7 @@
  * close s-1 listener                          connections are refused; with deaf: they are never established
  * close c1 deaf                               stops reading, until: open c1
  * wait 400                                    milliseconds
+ * settle 100                                  milliseconds of real time, in which the system acknowledges what was read
  * step -3600000                               steps the wall clock by milliseconds; ${now} stays the true time
  * times 3 STEP                                repeats the step with # replaced by 10, 11 and 12
  * together STEP ;; STEP                       sends and closes that the director processes in one turn, in that order
@@ -268,6 +269,11 @@
                     turn(0);
                 }
             }
+            case "settle" -> {
+                for (long endNs = System.nanoTime() + Long.parseLong(rest) * 1_000_000; System.nanoTime() < endNs;) {
+                    turn(1);
+                }
+            }
             case "step" -> clock.stepMs(Long.parseLong(rest));
             case "send" -> send(parts[0], parts[1]);
             case "expect" -> expect(parts[0], parts[1]);
