--- a/src/main/java/clovermill/controlplane/admin/AdminServer.java
+++ b/src/main/java/clovermill/controlplane/admin/AdminServer.java
@@ -7,6 +7,7 @@
 import clovermill.controlplane.admin.decide.AdminService;
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.Listener;
@@ -70,7 +71,7 @@
     }
 
     /** A connection with its single request. */
-    private final class Exchange implements Connection.Handler {
+    private final class Exchange implements ConnectionHandler {
         private final Connection connection;
         private final AdminRequestParser parser = new AdminRequestParser();
         private final Deadlines.Deadline timeout;
--- a/src/main/java/clovermill/dataplane/server/FrameConnection.java
+++ b/src/main/java/clovermill/dataplane/server/FrameConnection.java
@@ -1,6 +1,7 @@
 package clovermill.dataplane.server;
 
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.ProtocolException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,7 +9,7 @@
 import java.util.function.Consumer;
 
 /** One client connection: manages its open streams, response writes and close. */
-final class FrameConnection implements Connection.Handler {
+final class FrameConnection implements ConnectionHandler {
 
     /** Time after the connect in which a client is expected to send its first request. */
     private static final long FIRST_REQUEST_US = 100_000;
--- a/src/main/java/clovermill/dataplane/server/FrameServer.java
+++ b/src/main/java/clovermill/dataplane/server/FrameServer.java
@@ -5,6 +5,7 @@
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.Listener;
@@ -129,7 +130,7 @@
         return listener.port();
     }
 
-    private Connection.Handler accept(Connection connection) {
+    private ConnectionHandler accept(Connection connection) {
         FrameConnection accepted = new FrameConnection(connection, context);
         connections.add(accepted);
         idle.addOpened(accepted, clock.micros());
--- a/src/main/java/clovermill/dataplane/server/LingeringClose.java
+++ b/src/main/java/clovermill/dataplane/server/LingeringClose.java
@@ -7,9 +7,9 @@
 import java.nio.ByteBuffer;
 
 /**
- * A close that waits until the client's system has all responses, then shuts down this side's output and discards further
- * input for a short time. Closing with unread input, or before input arrives, sends a reset, which destroys responses
- * still in transit.
+ * A close that waits until the client's system has all responses, then shuts down this side's output and discards
+ * further input for a short time. Closing with unread input, or before input arrives, sends a reset, which destroys
+ * responses still in transit.
  */
 final class LingeringClose {
 
--- a/src/main/java/clovermill/dataplane/upstream/UpstreamConnection.java
+++ b/src/main/java/clovermill/dataplane/upstream/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import clovermill.runtime.net.Body;
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines.Deadline;
 import clovermill.runtime.net.ProtocolException;
 import clovermill.runtime.net.SocketErrors;
@@ -23,7 +24,7 @@
  * One connection to a member. It owns its exchanges and ends each of them with its response, its timeout, or the close
  * of the connection.
  */
-final class UpstreamConnection implements Connection.Handler {
+final class UpstreamConnection implements ConnectionHandler {
 
     private static final System.Logger LOG = System.getLogger(UpstreamConnection.class.getName());
 
--- a/src/main/java/clovermill/dataplane/upstream/UpstreamPool.java
+++ b/src/main/java/clovermill/dataplane/upstream/UpstreamPool.java
@@ -10,6 +10,7 @@
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.Deadlines.Deadline;
 import clovermill.runtime.net.EventLoop;
@@ -43,7 +44,7 @@
 
     /** Dials an address, as {@link EventLoop#connect}. */
     interface Dialer {
-        Connection connect(InetSocketAddress address, Function<Connection, Connection.Handler> handlers)
+        Connection connect(InetSocketAddress address, Function<Connection, ConnectionHandler> handlers)
                 throws IOException;
     }
 
--- a/src/main/java/clovermill/director/ArchiveRunPeers.java
+++ b/src/main/java/clovermill/director/ArchiveRunPeers.java
@@ -2,6 +2,7 @@
 
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.Listener;
@@ -48,7 +49,7 @@
         listener.close();
     }
 
-    private record Peer(Connection connection) implements Connection.Handler {
+    private record Peer(Connection connection) implements ConnectionHandler {
 
         @Override
         public void received(ByteBuffer data) {
--- a/src/main/java/clovermill/director/ClassDataArchiveRun.java
+++ b/src/main/java/clovermill/director/ClassDataArchiveRun.java
@@ -4,6 +4,7 @@
 import clovermill.config.Json;
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -66,7 +67,7 @@
     }
 
     /** Sends one admin request and ignores the response. */
-    private record Operator(Connection connection) implements Connection.Handler {
+    private record Operator(Connection connection) implements ConnectionHandler {
 
         @Override
         public void connected() {
@@ -88,7 +89,7 @@
     }
 
     /** Sends one request after another; each fourth request is a write. */
-    private final class Client implements Connection.Handler {
+    private final class Client implements ConnectionHandler {
         private static final int FRAME_CAPACITY = 1024;
         private static final int LENGTH_BYTES = 4;
         private static final int WRITE_INTERVAL = 4;
--- a/src/main/java/clovermill/runtime/net/Connection.java
+++ b/src/main/java/clovermill/runtime/net/Connection.java
@@ -11,37 +11,6 @@
  */
 public final class Connection {
 
-    /** Receives the events of a connection for its owner. No call is made after {@link #closed}. */
-    public interface Handler {
-
-        /** An outgoing connection has been established. */
-        default void connected() {}
-
-        /**
-         * Bytes have arrived. If the handler leaves bytes in the buffer, reading stops until {@link Connection#resume},
-         * and they are delivered again then.
-         */
-        void received(ByteBuffer data) throws IOException;
-
-        /** The peer has closed its output; it may still read. */
-        void ended();
-
-        /** Queued bytes are about to be written: the last chance to withdraw a request in this turn. */
-        default void flushing() {}
-
-        /** All queued bytes have been written to the socket. */
-        default void flushed() {}
-
-        /** Everything sent was acknowledged by the peer's system; see {@link Connection#requestDeliveryNotice}. */
-        default void delivered() {}
-
-        /** Queued bytes are left after a write; {@link Connection#retractFrom} may remove those not yet written. */
-        default void writeBlocked() {}
-
-        /** The connection is closed because of {@code cause}, which is null if this side closed it. */
-        void closed(IOException cause);
-    }
-
     private static final Runnable NO_CALLBACK = () -> {};
     /** Bytes that one connection may write in one turn: a large answer must not delay the other connections. */
     private static final int MAX_WRITE_BYTES_PER_TURN = 1 << 18;
@@ -55,16 +24,14 @@
     private final Listener acceptedBy;
     private final ConnectionInput input;
     private final WriteQueue output = new WriteQueue();
-    private final SendBuffer sendBuffer;
-    private Handler handler;
+    private final DeliveryNotice deliveryNotice;
+    private ConnectionHandler handler;
     private boolean connecting;
     private boolean open = true;
     private boolean flushScheduled;
     /** True if the socket accepted no bytes and everything was retracted: flushed again when it is writable. */
     private boolean flushWhenWritable;
     private boolean closeWhenFlushed;
-    private boolean deliveryRequested;
-    private boolean delivered = true;
 
     /** Creates a connection; {@code acceptedBy} is the listener that accepted it, null for a dialed connection. */
     Connection(EventLoop loop, SocketChannel channel, SelectionKey key, boolean connecting, Listener acceptedBy) {
@@ -73,13 +40,13 @@
         this.key = key;
         this.connecting = connecting;
         this.acceptedBy = acceptedBy;
-        this.sendBuffer = new SendBuffer(channel);
+        this.deliveryNotice = new DeliveryNotice(channel);
         this.input = new ConnectionInput(channel,
                 acceptedBy != null ? ACCEPTED_READS_PER_TURN : DIALED_READS_PER_TURN);
     }
 
     /** Sets the handler and starts waiting for events. */
-    void start(Handler newHandler) {
+    void start(ConnectionHandler newHandler) {
         handler = newHandler;
         input.setHandler(newHandler);
         updateInterest();
@@ -118,8 +85,7 @@
             done.run();
             return;
         }
-        endDeliveryRequest();
-        delivered = false;
+        deliveryNotice.cancel();
         output.add(bytes, done);
         requestFlush();
     }
@@ -129,31 +95,24 @@
      * it: if the peer sends more, the system resets the connection and discards what is unacknowledged.
      */
     public boolean isDelivered() {
-        return delivered;
+        return deliveryNotice.isDelivered();
     }
 
     /**
-     * Requests one call of {@link Handler#delivered} as soon as everything sent is acknowledged; a further send cancels
-     * the request. To be used before {@link #endOutput}; has no effect if {@link #isDelivered}.
+     * Requests one call of {@link ConnectionHandler#delivered} as soon as everything sent is acknowledged; a further
+     * send cancels the request. To be used before {@link #endOutput}, as a socket is always selected as writable after
+     * that; has no effect if {@link #isDelivered}.
      */
     public void requestDeliveryNotice() {
-        if (open && !delivered && !deliveryRequested) {
-            deliveryRequested = true;
-            sendBuffer.shrink();
+        if (open) {
+            deliveryNotice.request();
             updateInterest();
         }
     }
 
-    private void endDeliveryRequest() {
-        if (deliveryRequested) {
-            deliveryRequested = false;
-            sendBuffer.restore();
-        }
-    }
-
     /**
      * Removes {@code first} and everything sent after it, unless a byte of {@code first} has been written.
-     * {@link Handler#flushing} is called once the socket is writable.
+     * {@link ConnectionHandler#flushing} is called once the socket is writable.
      *
      * @return true if the bytes were removed
      */
@@ -190,7 +149,7 @@
         return input.isPaused();
     }
 
-    /** Schedules a call of {@link Handler#flushing} at the end of this turn. */
+    /** Schedules a call of {@link ConnectionHandler#flushing} at the end of this turn. */
     public void requestFlush() {
         if (open && !flushScheduled) {
             flushScheduled = true;
@@ -200,7 +159,7 @@
 
     /**
      * Delivers everything that has arrived so far, bytes that were left unread first, unless reading is paused. Must
-     * not be called from {@link Handler#received}.
+     * not be called from {@link ConnectionHandler#received}.
      */
     public void readNow() {
         deliverUnread();
@@ -260,15 +219,15 @@
             return; // closed by another connection's callback after the selection
         }
         try {
-            boolean delivery = deliveryRequested && output.isEmpty() && key.isWritable();
+            boolean delivery = deliveryNotice.isRequested() && output.isEmpty() && key.isWritable();
             if (connecting && key.isConnectable()) {
                 finishConnect();
             }
             if (open && key.isReadable()) {
                 input.read(loop.readBuffer());
             }
-            if (delivery) {
-                reportDelivered();
+            if (open && delivery && deliveryNotice.complete()) {
+                handler.delivered();
             } else if (open && key.isWritable()) {
                 requestFlush();
             }
@@ -278,15 +237,6 @@
         }
     }
 
-    /** Reports the delivery, unless the connection was closed or more was sent in this turn. */
-    private void reportDelivered() {
-        if (open && deliveryRequested) {
-            endDeliveryRequest();
-            delivered = true;
-            handler.delivered();
-        }
-    }
-
     private void finishConnect() throws IOException {
         if (channel.finishConnect()) { // false if a signal interrupted the call
             connecting = false;
@@ -340,7 +290,7 @@
             key.interestOps(SelectionKey.OP_CONNECT);
         } else if (open) {
             int readInterest = input.isReadable() ? SelectionKey.OP_READ : 0;
-            int writeInterest = isWriteIdle() && !deliveryRequested ? 0 : SelectionKey.OP_WRITE;
+            int writeInterest = isWriteIdle() && !deliveryNotice.isRequested() ? 0 : SelectionKey.OP_WRITE;
             key.interestOps(readInterest | writeInterest);
         }
     }
--- a/src/main/java/clovermill/runtime/net/ConnectionInput.java
+++ b/src/main/java/clovermill/runtime/net/ConnectionInput.java
@@ -12,7 +12,7 @@
 
     private final ReadableByteChannel channel;
     private final int maxReadsPerTurn;
-    private Connection.Handler handler;
+    private ConnectionHandler handler;
     /** Bytes read but not consumed by the handler, null if there are none. */
     private ByteBuffer unread;
     private boolean paused;
@@ -24,7 +24,7 @@
         this.maxReadsPerTurn = maxReadsPerTurn;
     }
 
-    void setHandler(Connection.Handler newHandler) {
+    void setHandler(ConnectionHandler newHandler) {
         handler = newHandler;
     }
 
--- a/src/main/java/clovermill/runtime/net/EventLoop.java
+++ b/src/main/java/clovermill/runtime/net/EventLoop.java
@@ -47,18 +47,18 @@
      * one arrives, {@code closeAnother} is asked to close another; until one is closed no more are accepted.
      */
     public Listener listen(InetSocketAddress address, int maxConnections, Runnable closeAnother,
-            Function<Connection, Connection.Handler> handlers) throws IOException {
+            Function<Connection, ConnectionHandler> handlers) throws IOException {
         return listen(address, false, maxConnections, closeAnother, handlers);
     }
 
     /** As {@link #listen}; its connections are served ahead of all others in each turn. */
     public Listener listenWithPriority(InetSocketAddress address, int maxConnections, Runnable closeAnother,
-            Function<Connection, Connection.Handler> handlers) throws IOException {
+            Function<Connection, ConnectionHandler> handlers) throws IOException {
         return listen(address, true, maxConnections, closeAnother, handlers);
     }
 
     private Listener listen(InetSocketAddress address, boolean priority, int maxConnections, Runnable closeAnother,
-            Function<Connection, Connection.Handler> handlers) throws IOException {
+            Function<Connection, ConnectionHandler> handlers) throws IOException {
         ServerSocketChannel channel = Sockets.openListening(address);
         try {
             return new Listener(this, channel, selector, true, priority, maxConnections, closeAnother, handlers);
@@ -70,14 +70,14 @@
 
     /** As {@link #listen}, on a socket that listens already and stays open when the listener closes. */
     public Listener listenOn(ServerSocketChannel inherited, int maxConnections, Runnable closeAnother,
-            Function<Connection, Connection.Handler> handlers) throws IOException {
+            Function<Connection, ConnectionHandler> handlers) throws IOException {
         inherited.configureBlocking(false);
         return new Listener(this, inherited, selector, false, false, maxConnections, closeAnother, handlers);
     }
 
     /** As {@link #listenOn}, with the accept call replaced by a test. */
     Listener listenOn(ServerSocketChannel inherited, Listener.Acceptor acceptor, int maxConnections,
-            Function<Connection, Connection.Handler> handlers) throws IOException {
+            Function<Connection, ConnectionHandler> handlers) throws IOException {
         inherited.configureBlocking(false);
         return new Listener(this, inherited, acceptor, selector, false, false, maxConnections, () -> {}, handlers);
     }
@@ -98,7 +98,7 @@
      *
      * @throws IOException if the dial fails at once
      */
-    public Connection connect(InetSocketAddress address, Function<Connection, Connection.Handler> handlers)
+    public Connection connect(InetSocketAddress address, Function<Connection, ConnectionHandler> handlers)
             throws IOException {
         SocketChannel channel = Sockets.openDialling(address);
         boolean connected = channel.isConnected();
@@ -110,13 +110,13 @@
     }
 
     /** Serves a connection that {@code listener} has accepted; the listener is called when it has closed. */
-    void registerAccepted(SocketChannel channel, Listener listener, Function<Connection, Connection.Handler> handlers)
+    void registerAccepted(SocketChannel channel, Listener listener, Function<Connection, ConnectionHandler> handlers)
             throws IOException {
         register(channel, SelectionKey.OP_READ, false, handlers, listener);
     }
 
     private Connection register(SocketChannel channel, int interest, boolean connecting,
-            Function<Connection, Connection.Handler> handlers, Listener acceptedBy) throws IOException {
+            Function<Connection, ConnectionHandler> handlers, Listener acceptedBy) throws IOException {
         try {
             channel.configureBlocking(false);
             Sockets.setNoDelay(channel);
--- a/src/main/java/clovermill/runtime/net/Listener.java
+++ b/src/main/java/clovermill/runtime/net/Listener.java
@@ -28,7 +28,7 @@
     private final ServerSocketChannel channel;
     private final Acceptor acceptor;
     private final SelectionKey key;
-    private final Function<Connection, Connection.Handler> handlers;
+    private final Function<Connection, ConnectionHandler> handlers;
     private final Runnable closeAnother;
     private final boolean owned;
     private final boolean priority;
@@ -41,14 +41,14 @@
      * first.
      */
     Listener(EventLoop loop, ServerSocketChannel channel, Selector selector, boolean owned, boolean priority,
-            int maxConnections, Runnable closeAnother, Function<Connection, Connection.Handler> handlers)
+            int maxConnections, Runnable closeAnother, Function<Connection, ConnectionHandler> handlers)
             throws IOException {
         this(loop, channel, channel::accept, selector, owned, priority, maxConnections, closeAnother, handlers);
     }
 
     Listener(EventLoop loop, ServerSocketChannel channel, Acceptor acceptor, Selector selector, boolean owned,
             boolean priority, int maxConnections, Runnable closeAnother,
-            Function<Connection, Connection.Handler> handlers) throws IOException {
+            Function<Connection, ConnectionHandler> handlers) throws IOException {
         this.loop = loop;
         this.channel = channel;
         this.acceptor = acceptor;
--- a/src/test/java/clovermill/dataplane/upstream/DelayedDialTest.java
+++ b/src/test/java/clovermill/dataplane/upstream/DelayedDialTest.java
@@ -11,6 +11,7 @@
 import clovermill.routing.api.Result;
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.ManualClock;
@@ -66,7 +67,7 @@
         member.close();
     }
 
-    private Connection connect(InetSocketAddress address, Function<Connection, Connection.Handler> handlers)
+    private Connection connect(InetSocketAddress address, Function<Connection, ConnectionHandler> handlers)
             throws IOException {
         if (!failures.isEmpty()) {
             throw failures.poll();
--- a/src/test/java/clovermill/dataplane/upstream/MalformedResponseTest.java
+++ b/src/test/java/clovermill/dataplane/upstream/MalformedResponseTest.java
@@ -7,6 +7,7 @@
 import clovermill.dataplane.proxy.Exchange;
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.ManualClock;
@@ -36,7 +37,7 @@
     private EventLoop loop;
     private ScriptedSocket socket;
     private Connection connection;
-    private Connection.Handler handler;
+    private ConnectionHandler handler;
 
     private void open() throws IOException {
         ManualClock clock = new ManualClock();
@@ -48,7 +49,7 @@
         pool.updateMember("m", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), 0);
     }
 
-    private Connection dial(InetSocketAddress address, Function<Connection, Connection.Handler> handlers) {
+    private Connection dial(InetSocketAddress address, Function<Connection, ConnectionHandler> handlers) {
         connection = socket.connect(loop, dialed -> handler = handlers.apply(dialed));
         return connection;
     }
--- a/src/test/java/clovermill/dataplane/upstream/RequestDeadlineTest.java
+++ b/src/test/java/clovermill/dataplane/upstream/RequestDeadlineTest.java
@@ -11,6 +11,7 @@
 import clovermill.routing.api.Result;
 import clovermill.runtime.net.Budget;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.ManualClock;
@@ -47,7 +48,7 @@
         pool.updateMember("m", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), 0);
     }
 
-    private Connection dial(InetSocketAddress address, Function<Connection, Connection.Handler> handlers) {
+    private Connection dial(InetSocketAddress address, Function<Connection, ConnectionHandler> handlers) {
         return socket.connect(loop, handlers);
     }
 
--- a/src/test/java/clovermill/prove/CacheFleet.java
+++ b/src/test/java/clovermill/prove/CacheFleet.java
@@ -4,6 +4,7 @@
 import clovermill.routing.api.SlowStartRule;
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.Listener;
@@ -234,7 +235,7 @@
                 + "\",\"cell\":9,\"state\":\"ready\",\"weight\":20,\"started_ms\":0}";
     }
 
-    private static Connection.Handler rejectHubConnection(Connection connection) {
+    private static ConnectionHandler rejectHubConnection(Connection connection) {
         throw new IllegalStateException("a director may not send requests to a hub itself");
     }
 
--- a/src/test/java/clovermill/prove/LineProtocolPeer.java
+++ b/src/test/java/clovermill/prove/LineProtocolPeer.java
@@ -1,13 +1,14 @@
 package clovermill.prove;
 
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /** The fake's end of a director's connection; speaks the members' line protocol or the command channel's HTTP. */
-public abstract class LineProtocolPeer implements Connection.Handler {
+public abstract class LineProtocolPeer implements ConnectionHandler {
 
     protected final Connection connection;
     private byte[] buffered = {};
--- a/src/test/java/clovermill/prove/LoadGenerator.java
+++ b/src/test/java/clovermill/prove/LoadGenerator.java
@@ -2,6 +2,7 @@
 
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import java.io.IOException;
@@ -123,7 +124,7 @@
         }
     }
 
-    private final class Link implements Connection.Handler {
+    private final class Link implements ConnectionHandler {
         private final Client client;
         private final Map<Integer, Long> open = new HashMap<>();
         private Connection connection;
--- a/src/test/java/clovermill/runtime/net/ConnectionFaultsTest.java
+++ b/src/test/java/clovermill/runtime/net/ConnectionFaultsTest.java
@@ -25,7 +25,7 @@
 
     private Connection connection(boolean connecting) {
         Connection connection = new Connection(loop, socket, socket.key(), connecting, null);
-        connection.start(new Connection.Handler() {
+        connection.start(new ConnectionHandler() {
             @Override
             public void connected() {
                 events.add("connected");
@@ -133,7 +133,7 @@
     }
 
     /** Leaves all bytes of its first call unread; reads all bytes of each later one. */
-    private static final class LateReader implements Connection.Handler {
+    private static final class LateReader implements ConnectionHandler {
         final List<Integer> receivedCounts = new ArrayList<>();
 
         @Override
--- a/src/test/java/clovermill/runtime/net/ConnectionPriorityTest.java
+++ b/src/test/java/clovermill/runtime/net/ConnectionPriorityTest.java
@@ -18,8 +18,8 @@
     private static final int CLIENTS = 30;
     private final List<String> receivers = new ArrayList<>();
 
-    private Function<Connection, Connection.Handler> named(String name) {
-        return connection -> new Connection.Handler() {
+    private Function<Connection, ConnectionHandler> named(String name) {
+        return connection -> new ConnectionHandler() {
             @Override
             public void received(ByteBuffer data) {
                 data.position(data.limit());
--- a/src/test/java/clovermill/runtime/net/EventLoopTest.java
+++ b/src/test/java/clovermill/runtime/net/EventLoopTest.java
@@ -15,12 +15,12 @@
 
     private final List<String> events = new ArrayList<>();
 
-    private Connection.Handler handler(Connection connection) {
+    private ConnectionHandler handler(Connection connection) {
         if (events.isEmpty()) {
             events.add("fault");
             throw new IllegalStateException("a fault while a connection is registered");
         }
-        return new Connection.Handler() {
+        return new ConnectionHandler() {
             @Override
             public void received(ByteBuffer data) {
                 data.position(data.limit());
@@ -122,8 +122,8 @@
     }
 
     /** Closes its connection at the first byte. */
-    private Connection.Handler closing(Connection connection) {
-        return new Connection.Handler() {
+    private ConnectionHandler closing(Connection connection) {
+        return new ConnectionHandler() {
             @Override
             public void received(ByteBuffer data) {
                 data.position(data.limit());
--- a/src/test/java/clovermill/runtime/net/ListenerFaultsTest.java
+++ b/src/test/java/clovermill/runtime/net/ListenerFaultsTest.java
@@ -59,9 +59,9 @@
         return channel.accept();
     }
 
-    private Connection.Handler handler(Connection connection) {
+    private ConnectionHandler handler(Connection connection) {
         accepted.add(connection);
-        return new Connection.Handler() {
+        return new ConnectionHandler() {
             @Override
             public void received(ByteBuffer data) {
                 data.position(data.limit());
--- a/src/test/java/clovermill/runtime/net/ScriptedSocket.java
+++ b/src/test/java/clovermill/runtime/net/ScriptedSocket.java
@@ -39,7 +39,7 @@
     }
 
     /** Returns a connection of {@code loop} that is being dialed on this socket. */
-    public Connection connect(EventLoop loop, Function<Connection, Connection.Handler> handlers) {
+    public Connection connect(EventLoop loop, Function<Connection, ConnectionHandler> handlers) {
         connection = new Connection(loop, this, key, true, null);
         connection.start(handlers.apply(connection));
         return connection;
