A successor says yes only on a list that is 7 s old at most, and gets it from its predecessor

Cause: Readiness waited for discovery for 1 s after the settling time and then went on with that list. Ruled out: connections of the first process taken for others, and events that come back late (upgrade-stale has no other cache at the address and a silent discovery, and says yes all the same). Change: a yes needs a list that discovery has confirmed within 7 s ("counts as told no later than 7 s afterwards"), with no wait after which it goes on without; and the process in service hands what it knows (list, purges with their ages, number of the last event, age of the confirmation) to its successor by the folder that both share. Related paths: frames of type 6, GET /ready, the inherited socket and the mark for the other process all ask Readiness.

--- a/src/main/java/clovermill/controlplane/discovery/DiscoveryClient.java
+++ b/src/main/java/clovermill/controlplane/discovery/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import clovermill.config.Json;
 import clovermill.runtime.net.Clock;
 import clovermill.runtime.net.Connection;
+import clovermill.runtime.net.ConnectionHandler;
 import clovermill.runtime.net.Deadlines;
 import clovermill.runtime.net.EventLoop;
 import clovermill.runtime.net.ProtocolException;
@@ -18,7 +19,7 @@
  * A client that long-polls the command channel: it sends the next poll as soon as it has read an answer. It replaces a
  * lost connection with backoff, and the first poll on a new one resumes after the last event that was applied.
  */
-public final class DiscoveryClient implements Connection.Handler {
+public final class DiscoveryClient implements ConnectionHandler {
 
     private static final System.Logger LOG = System.getLogger(DiscoveryClient.class.getName());
     /**
@@ -44,6 +45,7 @@
     private Deadlines.Deadline reconnect;
     private long cursor;
     private long lastAnswerUs = DiscoveryEvents.NEVER_ANSWERED_US;
+    private long confirmedUs = DiscoveryEvents.NEVER_ANSWERED_US;
 
     /**
      * Creates a client that is inactive until {@link #start()}.
@@ -85,9 +87,28 @@
         }
     }
 
-    /** Returns whether the channel has answered at least once. */
-    public boolean hasAnswered() {
-        return lastAnswerUs != DiscoveryEvents.NEVER_ANSWERED_US;
+    /** Returns the number of the last event that was applied. */
+    public long cursor() {
+        return cursor;
+    }
+
+    /**
+     * Returns when there were no events later than {@link #cursor}, as the channel has confirmed here or to a process
+     * whose events were adopted; on the monotonic clock, long ago if it is not known.
+     */
+    public long confirmedUs() {
+        return confirmedUs;
+    }
+
+    /**
+     * Resumes after events that were not received here, unless later ones are known.
+     *
+     * @param adoptedCursor the number of the last of these events
+     * @param adoptedConfirmedUs when there were no later ones, as in {@link #confirmedUs}
+     */
+    public void adopt(long adoptedCursor, long adoptedConfirmedUs) {
+        cursor = Math.max(cursor, adoptedCursor);
+        confirmedUs = Math.max(confirmedUs, adoptedConfirmedUs);
     }
 
     private void checkStaleness() {
@@ -131,6 +152,7 @@
         backoff.reset();
         long previousAnswerUs = lastAnswerUs;
         lastAnswerUs = clock.micros();
+        confirmedUs = lastAnswerUs;
         logRecovery(staleness.answered(lastAnswerUs));
         if (answer.cursor() > cursor) {
             cursor = answer.cursor();
--- a/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
+++ b/src/main/java/clovermill/controlplane/discovery/EndpointRegistry.java
@@ -31,6 +31,7 @@
     private final Map<String, ListedEndpoint> listed = new LinkedHashMap<>();
     private final StartTimes startTimes;
     private final PurgeAgeEstimator purgeAges = new PurgeAgeEstimator();
+    private final RecentPurges recentPurges = new RecentPurges();
     /** True after the first merge of outages: caches found enabled later were enabled just before. */
     private boolean outagesMerged;
     private final Clock clock;
@@ -185,6 +186,23 @@
         }
     }
 
+    /**
+     * Returns what this process knows from discovery.
+     *
+     * @param cursor the number of the last event that was applied
+     * @param confirmedUs when discovery confirmed that there were no later events, on the monotonic clock
+     */
+    public DiscoverySnapshot snapshot(long cursor, long confirmedUs) {
+        return new DiscoverySnapshot(cursor, clock.micros() - confirmedUs, List.copyOf(listed.values()),
+                recentPurges.aged(clock.micros()));
+    }
+
+    /** Applies what another process of this director knows, in place of the list known so far. */
+    public void adopt(DiscoverySnapshot snapshot) {
+        applyList(new EndpointListChanged(snapshot.cursor(), true, snapshot.endpoints()), true);
+        snapshot.purges().forEach(each -> purge(each.purge(), each.ageUs()));
+    }
+
     private static void logUnusable(UnusableEvent unusable) {
         LOG.log(Level.WARNING, "discovery event {0} is unusable: {1}", Long.toString(unusable.cursor()),
                 unusable.reason());
@@ -274,6 +292,7 @@
 
     /** Applies a purge and withdraws queued requests for purged objects, which might be answered with an older copy. */
     private void purge(CopiesPurged purge, long ageUs) {
+        recentPurges.add(purge, clock.micros() - ageUs);
         proxy.handle(new Purge(purge.object(), purge.group(), ageUs));
         pool.withdraw(ask -> purge.object() == null ? ask.group() == purge.group()
                 : Long.parseUnsignedLong(ask.object(), 16) == purge.object());
--- a/src/main/java/clovermill/controlplane/handover/ProcessRegistry.java
+++ b/src/main/java/clovermill/controlplane/handover/ProcessRegistry.java
@@ -7,7 +7,9 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.HashSet;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Finds the other process of this director in a folder that both share. Each process has a file {@code here-PID} with
@@ -20,6 +22,8 @@
 
     private static final System.Logger LOG = System.getLogger(ProcessRegistry.class.getName());
     private static final String FILE_PREFIX = "here-";
+    private static final String READY = "ready";
+    private static final String STARTING = "starts";
     /** Delay before a failed write is retried. */
     static final long RETRY_INTERVAL_US = 500_000;
 
@@ -28,6 +32,8 @@
     private final long startedUnixMs;
     private final long startTicks;
     private final ProcessTable processes;
+    /** The processes that were registered before this one. */
+    private final Set<Long> predecessors;
     private boolean markedReady;
     /** The time at which a failed write is retried, 0 if none failed. */
     private long retryAtUs;
@@ -50,12 +56,33 @@
         this.startTicks = processes.startTicks(ownPid)
                 .orElseThrow(() -> new IOException("process " + ownPid + " has no start ticks"));
         this.processes = processes;
+        this.predecessors = registeredPids();
         write(false);
     }
 
+    private Set<Long> registeredPids() throws IOException {
+        Set<Long> pids = new HashSet<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, FILE_PREFIX + "*")) {
+            for (Path file : files) {
+                long pid = pid(file);
+                // A file with the own pid is left over, unless the same system process has registered twice.
+                if (pid >= 0 && (pid != ownPid || Files.readString(file).endsWith(" " + startTicks))) {
+                    pids.add(pid);
+                }
+            }
+        }
+        return pids;
+    }
+
+    /** Returns whether a process that was registered before this one still runs. */
+    public boolean hasPredecessor() {
+        predecessors.removeIf(pid -> !processes.exists(pid) || Files.notExists(folder.resolve(FILE_PREFIX + pid)));
+        return !predecessors.isEmpty();
+    }
+
     private void write(boolean ready) throws IOException {
         Path temporary = folder.resolve("new-here-" + ownPid);
-        Files.writeString(temporary, startedUnixMs + (ready ? " ready " : " starts ") + startTicks);
+        Files.writeString(temporary, startedUnixMs + " " + (ready ? READY : STARTING) + " " + startTicks);
         Files.move(temporary, folder.resolve(FILE_PREFIX + ownPid), StandardCopyOption.ATOMIC_MOVE);
     }
 
@@ -86,7 +113,8 @@
             for (Path file : files) {
                 long pid = pid(file);
                 if (pid >= 0 && pid != ownPid && processes.exists(pid)) {
-                    found = found == OtherProcess.SUCCESSOR || isSuccessor(file, pid) ? OtherProcess.SUCCESSOR
+                    found = found == OtherProcess.SUCCESSOR || startedLater(file, pid, READY)
+                            ? OtherProcess.SUCCESSOR
                             : OtherProcess.PRESENT;
                 } else if (pid != ownPid) {
                     Files.deleteIfExists(file);
@@ -98,10 +126,26 @@
         return found;
     }
 
-    private boolean isSuccessor(Path file, long pid) throws IOException {
+    /** Returns the process that started after this one and does not accept connections yet. */
+    public OptionalLong findStartingSuccessor() {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, FILE_PREFIX + "*")) {
+            for (Path file : files) {
+                long pid = pid(file);
+                if (pid >= 0 && pid != ownPid && processes.exists(pid) && startedLater(file, pid, STARTING)) {
+                    return OptionalLong.of(pid);
+                }
+            }
+        } catch (IOException failure) {
+            warn(failure);
+        }
+        return OptionalLong.empty();
+    }
+
+    /** Returns whether a process started after this one and is in {@code state}. */
+    private boolean startedLater(Path file, long pid, String state) throws IOException {
         try {
             String[] words = Files.readString(file).split(" ");
-            if (words.length < 2 || !words[1].equals("ready")) {
+            if (words.length < 2 || !words[1].equals(state)) {
                 return false;
             }
             Long.parseLong(words[0]);
--- a/src/main/java/clovermill/director/ControlPlane.java
+++ b/src/main/java/clovermill/director/ControlPlane.java
@@ -25,6 +25,7 @@
 
     private final DirectorRuntime runtime;
     private final EndpointRegistry registry;
+    private final DiscoverySettings discoverySettings;
     private final DiscoveryClient discovery;
     private Optional<HandoverCoordinator> handover = Optional.empty();
     private OutageMarks outageMarks = OutageMarks.NONE;
@@ -37,17 +38,20 @@
         registry = new EndpointRegistry(runtime.clock(), dataPlane.pool(), dataPlane.core(), new OutageRegistry(),
                 settings.originKind());
         registry.applyInitial(initialEvents);
-        DiscoverySettings discoverySettings = new DiscoverySettings(config.zones(), config.kinds(),
+        discoverySettings = new DiscoverySettings(config.zones(), config.kinds(),
                 settings.dialTimeoutUs(), Math.min(settings.drainGraceUs(), settings.purgeNoticeUs()));
         discovery = new DiscoveryClient(runtime.loop(), runtime.clock(), runtime.deadlines(), config.channel(),
-                discoverySettings,
-                initialEvents.cursor(), registry::apply);
+                discoverySettings, initialEvents.cursor(), registry::apply);
     }
 
     /** Returns a readiness check whose settling time begins now. */
     Readiness readiness(Platform platform, long settleUs) {
-        return new Readiness(runtime.clock(), registry, discovery, platform.inheritedSocket().isPresent(),
-                settleUs);
+        return new Readiness(runtime.clock(), registry, discovery, () -> mayHavePredecessor(platform), settleUs);
+    }
+
+    /** Returns whether another process of this director may have been in service before this one and still be. */
+    private boolean mayHavePredecessor(Platform platform) {
+        return handover.map(HandoverCoordinator::hasPredecessor).orElse(platform.inheritedSocket().isPresent());
     }
 
     /**
@@ -58,11 +62,14 @@
             return;
         }
         handover = HandoverCoordinator.open(platform.sharedFolder().get(), dataPlane.descriptors(), runtime.clock(),
-                runtime.deadlines(), registry, server, dataPlane.pool());
+                runtime.deadlines(), registry, discovery, discoverySettings, server, dataPlane.pool());
         if (handover.isPresent()) {
             handover.get().start();
             outageMarks = handover.get().marks();
         }
+        if (!mayHavePredecessor(platform)) {
+            discovery.adopt(discovery.cursor(), runtime.clock().micros()); // the configuration's list is current
+        }
     }
 
     /** Opens the gossip socket and replicates outages over it from now on. */
--- a/src/main/java/clovermill/director/Readiness.java
+++ b/src/main/java/clovermill/director/Readiness.java
@@ -5,37 +5,48 @@
 import clovermill.runtime.net.Clock;
 import java.util.function.BooleanSupplier;
 
-/** Decides when a started process reports itself ready. */
+/**
+ * Decides when a started process reports itself ready. Once it has, it stays ready: a process in service serves with
+ * the last known endpoint list if discovery is down.
+ */
 final class Readiness implements BooleanSupplier {
 
-    /** Maximum wait of a successor process for discovery after it has settled; discovery may be unreachable. */
-    private static final long DISCOVERY_WAIT_US = 1_000_000;
+    /**
+     * Maximum age of a successor's endpoint list. An event counts as known 7 s after the command channel has it,
+     * whether it arrived or not (the protocol page, "Figures").
+     */
+    private static final long MAX_LIST_AGE_US = 7_000_000;
 
     private final Clock clock;
     private final EndpointRegistry registry;
     private final DiscoveryClient discovery;
-    private final boolean successor;
+    private final BooleanSupplier hasPredecessor;
     private final long settledAtUs;
+    private boolean ready;
 
     /**
-     * Begins the settling time of {@code settleUs}. A {@code successor} replaces a running process: the endpoint list
-     * in its configuration may be as old as that process, so it also waits for discovery, for a limited time.
+     * Begins the settling time of {@code settleUs}. The endpoint list in the configuration is current at the start of a
+     * director, but as old as its first process when a successor of that starts. A successor therefore waits until it
+     * has a newer one from discovery or from the process that it replaces, as long as that is there to serve.
+     *
+     * @param hasPredecessor whether this process is a successor and the process that it replaces still runs
      */
-    Readiness(Clock clock, EndpointRegistry registry, DiscoveryClient discovery, boolean successor,
-            long settleUs) {
+    Readiness(Clock clock, EndpointRegistry registry, DiscoveryClient discovery,
+            BooleanSupplier hasPredecessor, long settleUs) {
         this.clock = clock;
         this.registry = registry;
         this.discovery = discovery;
-        this.successor = successor;
+        this.hasPredecessor = hasPredecessor;
         this.settledAtUs = clock.micros() + settleUs;
     }
 
     @Override
     public boolean getAsBoolean() {
-        return registry.hasEndpoints() && clock.micros() >= settledAtUs && upToDate();
+        ready = ready || registry.hasEndpoints() && clock.micros() >= settledAtUs && hasCurrentList();
+        return ready;
     }
 
-    private boolean upToDate() {
-        return !successor || discovery.hasAnswered() || clock.micros() >= settledAtUs + DISCOVERY_WAIT_US;
+    private boolean hasCurrentList() {
+        return clock.micros() - discovery.confirmedUs() <= MAX_LIST_AGE_US || !hasPredecessor.getAsBoolean();
     }
 }
--- a/src/main/java/clovermill/director/operations/HandoverCoordinator.java
+++ b/src/main/java/clovermill/director/operations/HandoverCoordinator.java
@@ -1,5 +1,7 @@
 package clovermill.director.operations;
 
+import clovermill.controlplane.discovery.DiscoveryClient;
+import clovermill.controlplane.discovery.DiscoverySettings;
 import clovermill.controlplane.discovery.EndpointRegistry;
 import clovermill.controlplane.handover.DescriptorShares;
 import clovermill.controlplane.handover.OtherProcess;
@@ -17,8 +19,9 @@
 import java.util.Optional;
 
 /**
- * Coordinates two processes of one director during a handover: both apply the outages that operators set at either, and
- * they divide the file descriptors. Each polls a shared folder several times a second.
+ * Coordinates two processes of one director during a handover: both apply the outages that operators set at either, the
+ * later one takes over what the earlier one knows from discovery, and they divide the file descriptors. Each polls a
+ * shared folder several times a second.
  */
 public final class HandoverCoordinator {
 
@@ -34,7 +37,9 @@
     private final EndpointRegistry registry;
     private final FrameServer server;
     private final UpstreamPool pool;
+    private final EndpointListHandover endpointList;
     private OtherProcess otherProcess = OtherProcess.NONE;
+    private boolean hasServed;
 
     /**
      * Joins the processes that share {@code folder}.
@@ -42,9 +47,11 @@
      * @return the coordinator, or empty (with a log message) if the folder cannot be used
      */
     public static Optional<HandoverCoordinator> open(Path folder, DescriptorShares descriptors, Clock clock,
-            Deadlines deadlines, EndpointRegistry registry, FrameServer server, UpstreamPool pool) {
+            Deadlines deadlines, EndpointRegistry registry, DiscoveryClient discovery,
+            DiscoverySettings discoverySettings, FrameServer server, UpstreamPool pool) {
         try {
-            return Optional.of(new HandoverCoordinator(folder, descriptors, clock, deadlines, registry, server, pool));
+            return Optional.of(new HandoverCoordinator(folder, descriptors, clock, deadlines, registry, discovery,
+                    discoverySettings, server, pool));
         } catch (IOException unusable) {
             LOG.log(Level.WARNING, "TMPDIR cannot be used, so the next process will not know which caches are out: {0}",
                     unusable.toString());
@@ -53,8 +60,11 @@
     }
 
     private HandoverCoordinator(Path folder, DescriptorShares descriptors, Clock clock, Deadlines deadlines,
-            EndpointRegistry registry, FrameServer server, UpstreamPool pool) throws IOException {
+            EndpointRegistry registry, DiscoveryClient discovery, DiscoverySettings discoverySettings,
+            FrameServer server, UpstreamPool pool) throws IOException {
         this.outages = new OutageFolder(folder, clock::micros);
+        this.endpointList = new EndpointListHandover(folder, ProcessHandle.current().pid(), clock, registry, discovery,
+                discoverySettings);
         this.processes = ProcessRegistry.ofThisProcess(folder);
         this.descriptors = descriptors;
         this.clock = clock;
@@ -64,6 +74,11 @@
         this.pool = pool;
     }
 
+    /** Returns whether a process of this director that started before this one still runs. */
+    public boolean hasPredecessor() {
+        return processes.hasPredecessor();
+    }
+
     /** Returns the outage marks in the shared folder. */
     public OutageMarks marks() {
         return outages;
@@ -83,7 +98,14 @@
 
     private void check() {
         syncOutages();
-        processes.markReady(server.isReady(), clock.micros());
+        boolean ready = server.isReady();
+        hasServed |= ready;
+        if (ready) {
+            endpointList.publish(processes.findStartingSuccessor());
+        } else if (!hasServed) {
+            endpointList.adopt();
+        }
+        processes.markReady(ready, clock.micros());
         OtherProcess observed = processes.findOther();
         if (observed != otherProcess) {
             otherProcess = observed;
@@ -106,6 +128,7 @@
 
     /** Removes this process from the shared folder, when it exits. */
     public void close() {
+        endpointList.close();
         processes.deregister();
     }
 }
--- a/src/test/java/clovermill/controlplane/handover/ProcessRegistryTest.java
+++ b/src/test/java/clovermill/controlplane/handover/ProcessRegistryTest.java
@@ -40,6 +40,37 @@
     @TempDir
     private Path folder;
 
+    /** A successor waits for a newer list as long as its predecessor serves; alone it would wait in vain. */
+    @Test
+    void hasAPredecessorUntilThatExits() throws Exception {
+        FakeProcessTable running = new FakeProcessTable(Map.of(1L, 100L, 2L, 200L, 3L, 300L));
+        Path shared = folder.resolve("shared");
+        ProcessRegistry one = new ProcessRegistry(shared, 1, 100, running);
+        ProcessRegistry two = new ProcessRegistry(shared, 2, 200, running);
+        assertThat(one.hasPredecessor()).as("the later process is not a predecessor").isFalse();
+        assertThat(two.hasPredecessor()).isTrue();
+        one.deregister();
+        assertThat(two.hasPredecessor()).isFalse();
+        ProcessRegistry three = new ProcessRegistry(shared, 3, 300, running);
+        running.ticks.remove(2L); // killed without deleting its file
+        assertThat(three.hasPredecessor()).isFalse();
+        running.ticks.put(3L, 400L); // its pid is reused, its file is left
+        assertThat(new ProcessRegistry(shared, 3, 400, running).hasPredecessor()).isFalse();
+    }
+
+    /** The process in service hands its endpoint list to a process that starts, not to one that serves or ends. */
+    @Test
+    void findsTheSuccessorThatStarts() throws Exception {
+        FakeProcessTable running = new FakeProcessTable(Map.of(1L, 100L, 2L, 200L));
+        ProcessRegistry one = new ProcessRegistry(folder, 1, 100, running);
+        assertThat(one.findStartingSuccessor()).isEmpty();
+        ProcessRegistry two = new ProcessRegistry(folder, 2, 200, running);
+        assertThat(one.findStartingSuccessor()).hasValue(2);
+        assertThat(two.findStartingSuccessor()).isEmpty();
+        two.markReady(true, NOW_US);
+        assertThat(one.findStartingSuccessor()).isEmpty();
+    }
+
     @Test
     void findsTheOtherProcessUntilItExits() throws Exception {
         FakeProcessTable running = new FakeProcessTable(Map.of(1L, 100L, 2L, 200L));
--- a/src/test/java/clovermill/director/Scenario.java
+++ b/src/test/java/clovermill/director/Scenario.java
@@ -44,6 +44,8 @@
  *                                             end in -previous call the earlier process
  * expect op 200 | text                        its response
  * send director BESIDE TEXT                   another process of it exists, with that text in its file; ALONE: removed
+ * send director HANDED TEXT                   what the earlier process hands to this one: its endpoint list and purges
+ * expect director handed TEXT                 what this process has handed to the one that BESIDE added, contains TEXT
  * start director MS                           starts another process next to the current one, ready after so long;
  *                                             "director" is the earlier one from then on, until it has stopped
  * expect c1 served 1 etag=t | bytes           also refused, failed, leaving, ready, unready; nothing; closed,
@@ -190,6 +192,8 @@
         switch (parts[0]) {
             case "TERM" -> (previous != null ? previous : director).shutDown();
             case "BESIDE" -> Files.writeString(folder.resolve("shared").resolve("here-1"), parts[1]);
+            case "HANDED" -> Files.writeString(folder.resolve("shared")
+                    .resolve("list-" + ProcessHandle.current().pid()), parts[1]);
             case "ALONE" -> Files.delete(folder.resolve("shared").resolve("here-1"));
             case "DEAF" -> director.reloader().pollAlways();
             default -> {
@@ -391,6 +395,11 @@
             assertThat(mark.split(" ")[1]).isEqualTo(what.substring("marked ".length()));
             return;
         }
+        if (what.startsWith("handed ")) {
+            assertThat(Files.readString(folder.resolve("shared").resolve("list-1")))
+                    .contains(what.substring("handed ".length()));
+            return;
+        }
         if (who.equals("director")) {
             (previous != null ? previous : director).loop().run();
             previous = null;
