Fields that the protocol does not define are skipped without a string for each

Cause: Frames.fields made a string and a map entry for each field, twice for a queued request. Change: RequestFields compares names in place and decodes the ten fields of the protocol.

--- a/src/main/java/clovermill/dataplane/server/ClientStreams.java
+++ b/src/main/java/clovermill/dataplane/server/ClientStreams.java
@@ -36,7 +36,7 @@
      * @return the deadline on the same clock, or {@link Long#MAX_VALUE} if the request is invalid
      */
     long answerByUs(ByteBuffer payload, long arrivedUs) throws ProtocolException {
-        Map<String, String> fields = Frames.fields(payload.duplicate().order(payload.order()));
+        Map<String, String> fields = RequestFields.read(payload.duplicate().order(payload.order()));
         long withinUs = context.reader().answerWithinUs(fields);
         return withinUs == Long.MAX_VALUE ? Long.MAX_VALUE : arrivedUs + withinUs;
     }
@@ -46,7 +46,7 @@
         if (claimNumber(stream)) {
             connection.reject(stream, context.retryAfterMs().getAsLong());
             if (payload != null) {
-                recordRejected(Frames.fields(payload));
+                recordRejected(RequestFields.read(payload));
             }
         }
     }
@@ -66,7 +66,7 @@
 
     /** Accepts a request that arrived at {@code arrivedUs} on the clock, or answers it immediately. */
     void accept(long stream, ByteBuffer payload, long arrivedUs) throws ProtocolException {
-        Map<String, String> fields = Frames.fields(payload);
+        Map<String, String> fields = RequestFields.read(payload);
         if (!claimNumber(stream)) {
             return;
         }
--- a/src/main/java/clovermill/dataplane/server/Frames.java
+++ b/src/main/java/clovermill/dataplane/server/Frames.java
@@ -1,14 +1,12 @@
 package clovermill.dataplane.server;
 
-import clovermill.runtime.net.ProtocolException;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.Map;
 
-/** Frame types, response codes and field encoding of the frame protocol. */
+/** Frame types, response codes and the encoding of frames in the frame protocol. */
 final class Frames {
 
     static final int REQUEST = 0;
@@ -31,32 +29,6 @@
 
     private Frames() {}
 
-    /** Reads the fields and advances the payload past them. Throws if the payload is too short. */
-    static Map<String, String> fields(ByteBuffer payload) throws ProtocolException {
-        Map<String, String> fields = new HashMap<>(16);
-        for (int i = readNumber(payload, 1); i > 0; i--) {
-            String name = readText(payload, readNumber(payload, NAME_LENGTH_BYTES));
-            fields.put(name, readText(payload, readNumber(payload, VALUE_LENGTH_BYTES)));
-        }
-        return fields;
-    }
-
-    private static int readNumber(ByteBuffer payload, int size) throws ProtocolException {
-        if (payload.remaining() < size) {
-            throw new ProtocolException("truncated fields in a frame");
-        }
-        return size == 1 ? payload.get() & 0xff : payload.getShort() & 0xffff;
-    }
-
-    private static String readText(ByteBuffer payload, int size) throws ProtocolException {
-        if (payload.remaining() < size) {
-            throw new ProtocolException("truncated fields in a frame");
-        }
-        byte[] bytes = new byte[size];
-        payload.get(bytes);
-        return new String(bytes, StandardCharsets.UTF_8);
-    }
-
     /**
      * Encodes a response frame without its body, whose length is included in the length field.
      *
