Readiness requests and cancellations count for a client's throttle

Cause: ClientThrottle counted requests alone. A small answer takes some ten times its bytes of heap while it waits.

--- a/src/main/java/clovermill/dataplane/server/FrameReceiver.java
+++ b/src/main/java/clovermill/dataplane/server/FrameReceiver.java
@@ -165,15 +165,15 @@
         if (type == Frames.REQUEST) {
             streams.accept(stream, payload, arrivedUs);
         } else {
+            throttle.countReadinessRequest();
             byte code = context.ready().getAsBoolean() ? Frames.SERVED : Frames.REJECTED;
             connection.send(Frames.responseHead(Frames.READINESS_RESPONSE, stream, code, Map.of(), 0));
         }
     }
 
     private void cancel(long stream) throws ProtocolException {
-        if (streams.cancel(stream)) {
-            throttle.countUnserved();
-        } else if (queue.remove(stream)) {
+        throttle.countUnserved();
+        if (!streams.cancel(stream) && queue.remove(stream)) {
             streams.markUsed(stream);
         }
     }
--- a/src/test/java/clovermill/prove/ClientStormTest.java
+++ b/src/test/java/clovermill/prove/ClientStormTest.java
@@ -15,8 +15,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Pictures that operators reported: clients that misbehave by the hundred, or one at full speed, until a director passed
- * its memory limit or its other clients got their answers late or never.
+ * Pictures that operators reported: clients that misbehave by the hundred, or one at full speed, until a director
+ * passed its memory limit or its other clients got their answers late or never.
  */
 class ClientStormTest {
 
