After a pause of reading, requests wait until the client is known to be there

Cause: the end stands unread behind the requests, and the queue was taken before reading went on. Ruled out: an end that is read and not applied (end-behind-flood holds), retries of open requests (there are none). Change: frames wait until a read of the socket finds nothing more (ConnectionHandler.caughtUp); a queue that is full before that is rejected, so that the end is reached; a pause that ends reads at once. Related paths: the pause for unread answers uses the same queue; connections to caches and AdminServer: by reading no request depends on what stands behind. Left: an end behind more than one turn reads (64 KB) is seen some turns later.

--- a/src/main/java/clovermill/dataplane/server/FrameConnection.java
+++ b/src/main/java/clovermill/dataplane/server/FrameConnection.java
@@ -120,6 +120,14 @@
         }
     }
 
+    @Override
+    public void caughtUp() {
+        if (!lingeringClose.hasBegun()) {
+            receiver.caughtUp();
+            updateIdleState();
+        }
+    }
+
     /** Sends a connection error and closes this side once the accepted requests have been answered. */
     void rejectProtocolError() {
         fail(0);
--- a/src/main/java/clovermill/dataplane/server/FrameReceiver.java
+++ b/src/main/java/clovermill/dataplane/server/FrameReceiver.java
@@ -8,7 +8,8 @@
 
 /**
  * Receives the frames of one client and processes them in order. Frames are queued while the client is throttled or
- * does not read its responses; cancellations are processed immediately even then.
+ * does not read its responses; cancellations are processed immediately even then. After a pause of reading frames are
+ * queued until all that has arrived was read: the client may have gone meanwhile, and its end stands behind them.
  */
 final class FrameReceiver {
 
@@ -26,6 +27,8 @@
     private final ClientThrottle throttle;
     private final BudgetWait budgetWait;
     private boolean hasReceivedFrame;
+    /** True from a pause of reading until everything that arrived meanwhile was read. */
+    private boolean catchingUp;
 
     FrameReceiver(FrameConnection client, Connection connection, ServerContext context, ClientStreams streams) {
         this.client = client;
@@ -46,7 +49,7 @@
     void receive(ByteBuffer data) throws ProtocolException {
         parser.parse(data);
         if (parser.awaitsMemory()) {
-            reading.pause();
+            pauseReading();
             budgetWait.begin();
         } else {
             budgetWait.finish();
@@ -60,21 +63,36 @@
             return;
         }
         rejectOnError(this::processQueued);
-        if (!client.isClosing() && !queue.isFull() && !budgetWait.isWaiting()) {
+        if (!client.isClosing() && !budgetWait.isWaiting() && (!queue.isFull() || !isThrottled())) {
             reading.resume();
         }
     }
 
+    private void pauseReading() {
+        reading.pause();
+        catchingUp = true;
+    }
+
+    /** Handles that everything that has arrived was read, and that the client is still there. */
+    void caughtUp() {
+        if (catchingUp && !connection.isPaused()) {
+            catchingUp = false;
+            resume();
+        }
+    }
+
     /** Stops reading until {@link #resume}. */
     void pause() {
         reading.pause();
     }
 
-    /** Rejects all queued requests and empties the queue. */
+    /** Rejects all queued requests, answers the readiness requests among them, and empties the queue. */
     void rejectQueued() {
         for (FrameQueue.Frame next = queue.poll(); next != null; next = queue.poll()) {
             if (next.type() == Frames.REQUEST) {
                 client.reject(next.stream(), context.retryAfterMs().getAsLong());
+            } else {
+                answerReadiness(next.stream());
             }
         }
     }
@@ -119,6 +137,9 @@
      */
     private boolean receiveFrame(int type, long stream, ByteBuffer payload) throws ProtocolException {
         hasReceivedFrame = true;
+        if (queue.isFull()) {
+            rejectQueued(); // the end of a client that has gone must not wait for its requests
+        }
         boolean mustWait = isBlocked() || !queue.isEmpty();
         if (mustWait) {
             queue.countRead();
@@ -132,14 +153,19 @@
             }
             default -> throw new ProtocolException("unknown frame type");
         }
-        if (queue.isFull()) {
-            reading.pause();
+        if (queue.isFull() && isThrottled()) {
+            pauseReading();
             streams.stopNewAttempts();
+            return false;
         }
-        return !queue.isFull();
+        return true;
     }
 
     private boolean isBlocked() {
+        return isThrottled() || catchingUp && !context.rejectingNew().getAsBoolean();
+    }
+
+    private boolean isThrottled() {
         return throttle.isThrottled() && !context.rejectingNew().getAsBoolean()
                 || connection.queuedBytes() > MAX_UNREAD_BYTES;
     }
@@ -165,12 +191,16 @@
         if (type == Frames.REQUEST) {
             streams.accept(stream, payload, arrivedUs);
         } else {
-            throttle.countReadinessRequest();
-            byte code = context.ready().getAsBoolean() ? Frames.SERVED : Frames.REJECTED;
-            connection.send(Frames.responseHead(Frames.READINESS_RESPONSE, stream, code, Map.of(), 0));
+            answerReadiness(stream);
         }
     }
 
+    private void answerReadiness(long stream) {
+        throttle.countReadinessRequest();
+        byte code = context.ready().getAsBoolean() ? Frames.SERVED : Frames.REJECTED;
+        connection.send(Frames.responseHead(Frames.READINESS_RESPONSE, stream, code, Map.of(), 0));
+    }
+
     private void cancel(long stream) throws ProtocolException {
         throttle.countUnserved();
         if (!streams.cancel(stream) && queue.remove(stream)) {
--- a/src/main/java/clovermill/runtime/net/Connection.java
+++ b/src/main/java/clovermill/runtime/net/Connection.java
@@ -133,13 +133,14 @@
         updateInterest();
     }
 
-    /** Resumes reading; bytes that were left unread are delivered first, at the end of this turn. */
+    /**
+     * Resumes reading: what has arrived meanwhile is delivered at the end of this turn, bytes that were left unread
+     * first.
+     */
     public void resume() {
         if (open && input.isPaused()) {
             input.resume();
-            if (input.hasUnread()) {
-                loop.scheduleDelivery(this);
-            }
+            loop.scheduleDelivery(this);
             updateInterest();
         }
     }
@@ -162,14 +163,26 @@
      * not be called from {@link ConnectionHandler#received}.
      */
     public void readNow() {
-        deliverUnread();
-        if (open && !connecting) {
-            try {
+        deliverArrived(true);
+    }
+
+    /** Delivers what has arrived before reading was resumed, unless that has been done. */
+    void deliverResumed() {
+        deliverArrived(input.awaitsRead());
+    }
+
+    private void deliverArrived(boolean readSocket) {
+        if (!open) {
+            return;
+        }
+        try {
+            input.deliverUnread();
+            if (readSocket && open && !connecting) {
                 input.read(loop.readBuffer());
-                updateInterest();
-            } catch (IOException failure) {
-                close(failure);
             }
+            updateInterest();
+        } catch (IOException failure) {
+            close(failure);
         }
     }
 
@@ -245,19 +258,6 @@
         }
     }
 
-    /** Delivers bytes that were left unread, unless reading is paused. */
-    void deliverUnread() {
-        if (!open) {
-            return;
-        }
-        try {
-            input.deliverUnread();
-            updateInterest();
-        } catch (IOException failure) {
-            close(failure);
-        }
-    }
-
     /** Writes as much as the socket accepts, up to the limit of one turn. */
     void flush() {
         if (!open || connecting) {
--- a/src/main/java/clovermill/runtime/net/ConnectionHandler.java
+++ b/src/main/java/clovermill/runtime/net/ConnectionHandler.java
@@ -15,6 +15,9 @@
      */
     void received(ByteBuffer data) throws IOException;
 
+    /** All that had arrived was delivered: the peer had sent nothing more, and not closed its output, a moment ago. */
+    default void caughtUp() {}
+
     /** The peer has closed its output; it may still read. */
     void ended();
 
--- a/src/main/java/clovermill/runtime/net/ConnectionInput.java
+++ b/src/main/java/clovermill/runtime/net/ConnectionInput.java
@@ -16,6 +16,8 @@
     /** Bytes read but not consumed by the handler, null if there are none. */
     private ByteBuffer unread;
     private boolean paused;
+    /** True from a resume until the next read of the socket. */
+    private boolean awaitsRead;
     private boolean ended;
     private boolean closed;
 
@@ -34,6 +36,12 @@
 
     void resume() {
         paused = false;
+        awaitsRead = true;
+    }
+
+    /** Returns true if the socket was not read since reading was resumed. */
+    boolean awaitsRead() {
+        return awaitsRead;
     }
 
     boolean isPaused() {
@@ -52,6 +60,7 @@
     /** Reads and delivers received bytes, with a bounded number of reads, unless older bytes are still unread. */
     void read(ByteBuffer buffer) throws IOException {
         for (int i = 0; i < maxReadsPerTurn && isReadable(); i++) {
+            awaitsRead = false;
             int count = TransferCount.read(channel, buffer.clear());
             if (count == TransferCount.END_OF_STREAM) {
                 ended = true;
@@ -59,6 +68,7 @@
             } else if (count > 0) {
                 deliver(buffer.flip());
             } else {
+                handler.caughtUp();
                 return;
             }
         }
--- a/src/main/java/clovermill/runtime/net/EventLoop.java
+++ b/src/main/java/clovermill/runtime/net/EventLoop.java
@@ -190,7 +190,7 @@
         List<Connection> resumed = connectionsToDeliver;
         connectionsToDeliver = new ArrayList<>();
         for (Connection connection : resumed) {
-            Callbacks.runGuarded(connection, connection::deliverUnread);
+            Callbacks.runGuarded(connection, connection::deliverResumed);
         }
     }
 
--- a/src/test/java/clovermill/dataplane/server/FrameServerTest.java
+++ b/src/test/java/clovermill/dataplane/server/FrameServerTest.java
@@ -214,6 +214,23 @@
         }
     }
 
+    /** The end of the client stands behind the rest of the frame, unread: an attempt would be for nobody. */
+    @Test
+    void submitsNoRequestOfAClientThatClosedWhileItWaitedForMemory() throws Exception {
+        try (SingleClient client = new SingleClient()) {
+            budget.tryReserve(1 << 20);
+            client.sendRequest(1, 47_000);
+            client.advance(100);
+            client.socket.close();
+            client.advance(100);
+            budget.release(1 << 20);
+            client.runLoop();
+            assertThat(events).isEmpty();
+            assertThat(client.server.isEmpty()).isTrue();
+            assertThat(budget.used()).isZero();
+        }
+    }
+
     /** The deadline counts from the arrival of a request's last byte, whether or not it has been read. */
     @Test
     void subtractsWaitForMemoryFromRequestDeadline() throws Exception {
