An at-most-once request that comes again under its id is failed, not run again

Left: the next process of an upgrade does not know them. Tests: isFailedAtTheSameProcess and isFailedAtTheSameProcessAfterItsAnswer red without the fix, green with it.

--- a/src/main/java/clovermill/dataplane/proxy/ProxyCore.java
+++ b/src/main/java/clovermill/dataplane/proxy/ProxyCore.java
@@ -40,6 +40,7 @@
     /** Filter of members; null if requests may use all members. */
     private final EndpointFilter endpointFilter;
     private final Map<String, RequestContext> requests = new HashMap<>();
+    private final RecentRuns recentRuns = new RecentRuns();
     private final EventQueue events;
     private HostCapabilities capabilities;
     private List<RequestClass> requestClasses;
@@ -74,7 +75,7 @@
             recordRejected(request, UsageRecord.End.REFUSED);
             return;
         }
-        if (requests.containsKey(request.id())) {
+        if (requests.containsKey(request.id()) || recentRuns.contains(request.id())) {
             handler.failed();
             recordRejected(request, UsageRecord.End.FAILED);
             return;
@@ -184,12 +185,17 @@
 
     /** Returns the time from an attempt that may have run until its last retry, {@link Long#MAX_VALUE} if unlimited. */
     long retryWindowUs(ClientRequest request) {
-        int index = request.requestClass();
-        RequestClass requestClass = index < requestClasses.size() ? requestClasses.get(index) : null;
+        RequestClass requestClass = classOf(request);
         return requestClass == null || requestClass.effect() != Effect.DEDUPLICATED ? Long.MAX_VALUE
                 : requestClass.windowUs();
     }
 
+    /** Returns the class of a request, or null if the settings in force do not have it. */
+    private RequestClass classOf(ClientRequest request) {
+        int index = request.requestClass();
+        return index < requestClasses.size() ? requestClasses.get(index) : null;
+    }
+
     long answerSlackUs() {
         return answerSlackUs;
     }
@@ -201,6 +207,10 @@
 
     void removeRequest(RequestContext context) {
         requests.remove(context.request.id(), context);
+        RequestClass requestClass = classOf(context.request);
+        if (context.mayHaveRun() && requestClass != null && requestClass.effect() == Effect.AT_MOST_ONCE) {
+            recentRuns.add(context.request.id());
+        }
     }
 
     /** Fails a request that the router has not answered by its deadline. */
--- a/src/main/java/clovermill/dataplane/proxy/RequestContext.java
+++ b/src/main/java/clovermill/dataplane/proxy/RequestContext.java
@@ -93,6 +93,11 @@
         firstPossibleRunUs = Math.min(firstPossibleRunUs, sentUs);
     }
 
+    /** Returns whether an ended attempt may have run. */
+    boolean mayHaveRun() {
+        return firstPossibleRunUs != NEVER;
+    }
+
     /**
      * Returns the send time of the first attempt except {@code excluded} that may have run, or {@link Long#MAX_VALUE}.
      */
@@ -132,7 +137,7 @@
 
     /** Sends the final answer when no attempt may follow: a rejection only if no attempt may have run. */
     void endUnserved() {
-        if (firstPossibleRunUs == NEVER) {
+        if (!mayHaveRun()) {
             reject(core.retryAfterMs());
         } else {
             fail();
