--- a/src/test/java/clovermill/director/RepeatedIdTest.java
+++ b/src/test/java/clovermill/director/RepeatedIdTest.java
@@ -10,6 +10,11 @@
 class RepeatedIdTest {
 
     private static final String AT_MOST_ONCE = "send director HUP edit \"deduplicated\" -> \"at_most_once\"";
+    private static final String HANDED_LIST = "send director HANDED {\"cursor\":1,\"confirmed_us_ago\":0,"
+            + "\"cmds\":[{\"cursor\":1,\"nodes\":{\"full\":true,\"servers\":[{\"id\":\"o-1\","
+            + "\"addr\":\"${o-1}\","
+            + "\"zone\":\"north\",\"kind\":\"origin\",\"cell\":3,\"state\":\"ready\",\"weight\":1.0,\"started_ms\":0}]}}],"
+            + "\"purge_ages_us\":[]}";
     private static final String REQUEST =
             " request 1 class=order id=00000000000000b1 wait=3000 key=7f3a9c21e0b4d655 | two skips";
 
@@ -41,7 +46,7 @@
     void isFailedAtTheNextProcessOfAnUpgrade() throws Exception {
         try (Scenario scenario = new Scenario(0, null, true)) {
             run(scenario, List.of("close c1 reset", "expect o-1 never_mind 00000000000000b1", "start director 0",
-                    "expect channel GET resume=1", "send channel {\"cursor\":1,\"cmds\":[]}", "wait 110", AT_MOST_ONCE,
+                    HANDED_LIST, "wait 110", AT_MOST_ONCE, "send op1 GET /ready", "expect op1 200",
                     "send director TERM", "wait 20"),
                     List.of("send c2" + REQUEST, "expect c2 failed 1", "wait 500", "expect o-1 nothing"));
         }
