--- a/src/test/java/clovermill/director/RepeatedIdTest.java
+++ b/src/test/java/clovermill/director/RepeatedIdTest.java
@@ -13,7 +13,8 @@
     private static final String HANDED_LIST = "send director HANDED {\"cursor\":1,\"confirmed_us_ago\":0,"
             + "\"cmds\":[{\"cursor\":1,\"nodes\":{\"full\":true,\"servers\":[{\"id\":\"o-1\","
             + "\"addr\":\"${o-1}\","
-            + "\"zone\":\"north\",\"kind\":\"origin\",\"cell\":3,\"state\":\"ready\",\"weight\":1.0,\"started_ms\":0}]}}],"
+            + "\"zone\":\"north\",\"kind\":\"origin\",\"cell\":3,\"state\":\"ready\",\"weight\":1.0,"
+            + "\"started_ms\":0}]}}],"
             + "\"purge_ages_us\":[]}";
     private static final String REQUEST =
             " request 1 class=order id=00000000000000b1 wait=3000 key=7f3a9c21e0b4d655 | two skips";
