A connection on which nothing is undelivered is idle at once, and a read of nothing is no use

Cause: the notice of a delivery that is known already never comes; and each read that found nothing counted as use since. Change: FrameConnection.watchDelivery reports at once what is known; caughtUp touches the idle state only after a pause.

--- a/src/main/java/clovermill/dataplane/server/FrameConnection.java
+++ b/src/main/java/clovermill/dataplane/server/FrameConnection.java
@@ -122,8 +122,7 @@
 
     @Override
     public void caughtUp() {
-        if (!lingeringClose.hasBegun()) {
-            receiver.caughtUp();
+        if (!lingeringClose.hasBegun() && receiver.caughtUp()) {
             updateIdleState();
         }
     }
@@ -162,9 +161,13 @@
         }
     }
 
-    /** Requests that the connection is reported as idle once the client's system has acknowledged all responses. */
-    void requestDeliveryNotice() {
-        connection.requestDeliveryNotice();
+    /** Reports the connection as idle once the client's system has acknowledged all responses, or now if it has. */
+    void watchDelivery() {
+        if (connection.isDelivered()) {
+            delivered();
+        } else {
+            connection.requestDeliveryNotice();
+        }
     }
 
     @Override
--- a/src/main/java/clovermill/dataplane/server/FrameReceiver.java
+++ b/src/main/java/clovermill/dataplane/server/FrameReceiver.java
@@ -73,12 +73,18 @@
         catchingUp = true;
     }
 
-    /** Handles that everything that has arrived was read, and that the client is still there. */
-    void caughtUp() {
-        if (catchingUp && !connection.isPaused()) {
-            catchingUp = false;
-            resume();
+    /**
+     * Handles that everything that has arrived was read, and that the client is still there.
+     *
+     * @return whether requests had waited for that
+     */
+    boolean caughtUp() {
+        if (!catchingUp || connection.isPaused()) {
+            return false;
         }
+        catchingUp = false;
+        resume();
+        return true;
     }
 
     /** Stops reading until {@link #resume}. */
--- a/src/main/java/clovermill/dataplane/server/IdleConnections.java
+++ b/src/main/java/clovermill/dataplane/server/IdleConnections.java
@@ -92,7 +92,7 @@
             FrameConnection connection = oldest.getKey();
             watched.put(connection, oldest.getValue());
             answered.remove(connection);
-            connection.requestDeliveryNotice();
+            connection.watchDelivery();
         }
     }
 
